--- a/crates/local-deployment/tests/testsuite/interface.rs
+++ b/crates/local-deployment/tests/testsuite/interface.rs
@@ -230,7 +230,7 @@
     let large = || async { vec![b'x'; 64 * 1024 * 1024] };
     let routes = Router::new().route("/", route::get(large));
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let server = HttpServer::bind(address, routes, limits, log::discard()).await?;
+    let server = HttpServer::bind(address, Handler::Routes(Arc::new(routes)), limits, log::discard()).await?;
     let bound = server.local_addr()?;
     let open = server.open_connections();
     let (_phase, serving) = watch::channel(ServePhase::Serving);
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -7,3 +7,4 @@
 pub mod queue;
 pub mod session;
 pub mod share;
+pub mod upstream;
--- /dev/null
+++ b/src/connection/upstream.rs
@@ -0,0 +1,293 @@
+//! HTTP/1.1 connections to one backend server over which whole requests are forwarded.
+//!
+//! A connection carries one request at a time and is kept for the next one while the server allows it. A connection on
+//! which anything went wrong is closed and never used again. See "Forwarding" in `docs/design/platform.md`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Greatest answer that is accepted from a backend server, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Buffer of one connection, in bytes. Answers of a part have about 1 KB.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Longest wait for a new connection. It is many round trips between data centres; a server that does not accept within
+/// it is treated as down.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time before the stated end of an idle connection from which it is not used, so that no request crosses its close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Longest time that an idle connection is used when the server states no limit.
+const IDLE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// Time that an exchange is given beyond its deadline, in which the server reports the end of the deadline itself.
+const ANSWER_GRACE: Duration = Duration::from_millis(30);
+
+/// Answer of a backend server, read to its end.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time from the sending of the request to the end of the answer, without the time to open a connection.
+    pub latency: Duration,
+}
+
+/// What an exchange needs besides the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Exchange<'a> {
+    /// Time at which the caller gives up.
+    pub deadline: Instant,
+    /// Header with the identity of the request, which the server repeats in its answer. It tells the answer apart from
+    /// one of an earlier request on the connection.
+    pub echo: (&'a HeaderName, &'a HeaderValue),
+}
+
+/// Failure of an exchange.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// No connection could be opened, so nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(#[source] io::Error),
+    /// All connections of this instance to the server are in use, so nothing was sent.
+    #[error("all connections are in use")]
+    NoConnection,
+    /// The time was over before anything was sent.
+    #[error("no time left to send")]
+    TooLate,
+    /// The connection broke, or the answer is malformed or too large. The request may have run.
+    #[error("connection broke: {0}")]
+    Broken(Box<str>),
+    /// The answer belongs to another request. The request may have run.
+    #[error("answer of another request")]
+    Foreign,
+    /// No complete answer came in time. The request may have run.
+    #[error("no complete answer in time")]
+    TimedOut,
+}
+
+impl ExchangeError {
+    /// Tells whether nothing was sent, so that the request has not run and never will.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::NoConnection | Self::TooLate)
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    usable_until: Instant,
+}
+
+#[derive(Debug)]
+struct Connections {
+    idle: Vec<Idle>,
+    /// Connections in use or being opened.
+    busy: u32,
+    limit: u32,
+    /// Connections opened since the start.
+    opened: u64,
+}
+
+/// Connections to one server.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    connections: Mutex<Connections>,
+}
+
+/// Counts a connection as in use until it is dropped.
+#[derive(Debug)]
+struct Busy<'a>(&'a Pool);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.lock().busy -= 1;
+    }
+}
+
+impl Pool {
+    /// Makes a pool without connections.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connections: Mutex::new(Connections {
+                idle: Vec::new(),
+                busy: 0,
+                limit: 1,
+                opened: 0,
+            }),
+        }
+    }
+
+    /// Sets the number of connections that may be open at one time.
+    pub fn set_limit(&self, limit: u32) {
+        self.lock().limit = limit;
+    }
+
+    /// Tells whether a request can be sent now.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        let connections = self.lock();
+        connections.busy < connections.limit
+    }
+
+    /// Returns the number of connections opened since the start.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.lock().opened
+    }
+
+    /// Closes the connections that carry no request, because one of their kind fell silent.
+    pub fn close_idle(&self) {
+        self.lock().idle.clear();
+    }
+
+    /// Sends one request and reads the whole answer. `prepare` makes the request for the time that is left when it is
+    /// sent. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Tells by [`ExchangeError::is_unsent`] whether the request may have run.
+    pub async fn exchange(
+        &self,
+        exchange: Exchange<'_>,
+        prepare: impl FnOnce(Duration) -> Request<Full<Bytes>>,
+    ) -> Result<Answer, ExchangeError> {
+        let deadline = exchange.deadline;
+        let (busy, idle) = self.claim()?;
+        let mut sender = match idle {
+            Some(sender) => sender,
+            None => self.open(deadline).await?,
+        };
+        let sent = Instant::now();
+        let left = deadline.saturating_duration_since(sent);
+        if left.is_zero() {
+            return Err(ExchangeError::TooLate);
+        }
+        let request = prepare(left);
+        let limit = deadline + ANSWER_GRACE;
+        let answer = tokio::time::timeout_at(limit.into(), converse(&mut sender, request, sent)).await;
+        let answer = answer.map_err(|_elapsed| ExchangeError::TimedOut)??;
+        let (name, id) = exchange.echo;
+        if answer.headers.get(name).is_some_and(|echoed| echoed != id) {
+            return Err(ExchangeError::Foreign);
+        }
+        drop(busy);
+        self.keep(sender, &answer.headers);
+        Ok(answer)
+    }
+
+    fn claim(&self) -> Result<(Busy<'_>, Option<SendRequest<Full<Bytes>>>), ExchangeError> {
+        let now = Instant::now();
+        let mut connections = self.lock();
+        if connections.busy >= connections.limit {
+            return Err(ExchangeError::NoConnection);
+        }
+        connections.busy += 1;
+        connections
+            .idle
+            .retain(|idle| idle.usable_until > now && !idle.sender.is_closed());
+        // The connection used last is the least likely to be closed by the server.
+        let usable = connections.idle.iter().rposition(|idle| idle.sender.is_ready());
+        let sender = usable.map(|ix| connections.idle.remove(ix).sender);
+        drop(connections);
+        Ok((Busy(self), sender))
+    }
+
+    async fn open(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+        let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let connecting = tokio::time::timeout_at(limit.into(), TcpStream::connect(self.address)).await;
+        let connected = connecting.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()));
+        let stream = connected.map_err(ExchangeError::Connect)?;
+        stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        self.lock().opened += 1;
+        let handshake = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(broken)?;
+        tokio::spawn(async move {
+            // The error reaches the sender of the request that was in flight.
+            let _reported_elsewhere = connection.await;
+        });
+        Ok(sender)
+    }
+
+    fn keep(&self, sender: SendRequest<Full<Bytes>>, headers: &HeaderMap) {
+        if sender.is_closed() || closes(headers) {
+            return;
+        }
+        let time = match stated_idle(headers) {
+            Some(stated) => stated.saturating_sub(IDLE_MARGIN),
+            None => IDLE_DEFAULT,
+        };
+        let usable_until = Instant::now() + time;
+        self.lock().idle.push(Idle { sender, usable_until });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn converse(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    sent: Instant,
+) -> Result<Answer, ExchangeError> {
+    let response = sender.send_request(request).await.map_err(broken)?;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| ExchangeError::Broken(error.to_string().into()))?;
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+        latency: sent.elapsed(),
+    })
+}
+
+fn broken(error: hyper::Error) -> ExchangeError {
+    ExchangeError::Broken(error.to_string().into())
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(http::header::CONNECTION);
+    values
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")))
+}
+
+/// Returns the time after which the server closes an idle connection, if it states one.
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive").map(HeaderValue::to_str)?.ok()?;
+    let timeout = value.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- a/src/process.rs
+++ b/src/process.rs
@@ -2,12 +2,16 @@
 
 pub mod admin;
 pub mod admission;
+pub mod backends;
 pub mod budget;
+pub mod catalogue;
 pub mod dissemination;
 pub mod document_files;
 pub mod drain;
 pub mod entry;
+pub mod extra;
 pub mod fleet;
+pub mod gateway;
 pub mod holdings;
 pub mod http;
 pub mod leaf;
@@ -16,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod ownership;
+pub mod pace;
 pub mod peers;
 pub mod platform;
 pub mod program;
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -30,10 +30,12 @@
 }
 
 /// Makes the routes. `/live` answers 200 as long as the process runs; `/ready` answers 503 before the configuration is in
-/// effect and from the beginning of a planned stop.
-pub fn routes(registry: Registry, readiness: Readiness) -> Router<Body, Infallible> {
+/// effect and from the beginning of a planned stop. `ready_path` is a further path of `/ready`, which the balancer asks
+/// for.
+pub fn routes(registry: Registry, readiness: Readiness, ready_path: Option<&str>) -> Router<Body, Infallible> {
     let registry = Arc::new(registry);
-    Router::new()
+    let balancer = readiness.clone();
+    let routes = Router::new()
         .route("/live", get(|| async { "live\n" }))
         .route(
             "/ready",
@@ -48,7 +50,17 @@
                 let text = metrics_text(&registry);
                 async move { text }
             }),
-        )
+        );
+    match ready_path {
+        None => routes,
+        Some(path) => routes.route(
+            path,
+            get(move || {
+                let ready = balancer.get();
+                async move { ready_answer(ready) }
+            }),
+        ),
+    }
 }
 
 const fn ready_answer(ready: bool) -> (StatusCode, &'static str) {
--- /dev/null
+++ b/src/process/backends.rs
@@ -0,0 +1,249 @@
+//! Backend servers that are known, with what was observed of each.
+//!
+//! [`Directory`] decides from the entries of the platform which servers may be asked. A server whose entry vanished
+//! while the platform was in trouble stays usable until the platform has been back for [`LAPSE_GRACE`], because entries
+//! also lapse when their owner lives. See "Backend servers" in `docs/design/platform.md`.
+
+pub mod standing;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::connection::upstream::Pool;
+use crate::ids::DataCentreId;
+use crate::ids::SearcherId;
+use crate::ids::ServiceId;
+use crate::process::backends::standing::Standing;
+use crate::version::routing::Routing;
+
+/// Time after the return of the platform within which entries that lapsed during its absence are back. An entry that is
+/// missing after it belongs to a server that is gone.
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// Connections to one server when its service names no limit.
+const DEFAULT_CONNECTIONS: u32 = 16;
+
+/// Least number of connections of this instance to one server.
+const LEAST_CONNECTIONS: u32 = 1;
+
+/// What the platform says of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendEntry {
+    /// Name of the server; a restarted server may keep it.
+    pub id: SearcherId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// Requests that it works on at one time.
+    pub slots: u32,
+    /// Whether it takes no new requests.
+    pub leaving: bool,
+    /// Time for which it is still slow after its start.
+    pub warmup: Duration,
+    /// Time of its start in Unix milliseconds, which tells incarnations with the same name apart.
+    pub born: u64,
+}
+
+/// A backend server in use. Requests that hold it keep it after it left the directory.
+#[derive(Debug)]
+pub struct Backend {
+    /// Entry as it was when the server became known. Only parts that cannot change within an incarnation are read.
+    pub entry: BackendEntry,
+    /// Whether it runs in the data centre of this instance.
+    pub is_local: bool,
+    /// Connections to it.
+    pub pool: Pool,
+    standing: Mutex<Standing>,
+}
+
+impl Backend {
+    /// Returns the observations.
+    pub fn standing(&self) -> MutexGuard<'_, Standing> {
+        self.standing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Servers by service, as requests use them.
+#[derive(Debug, Default)]
+pub struct View {
+    services: IndexMap<ServiceId, Vec<Arc<Backend>>>,
+}
+
+impl View {
+    /// Returns the servers of a service that may be asked.
+    #[must_use]
+    pub fn servers(&self, service: &str) -> &[Arc<Backend>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// A change of what is known, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing that requests see changed.
+    Unchanged,
+    /// A server can be asked from now on.
+    Joined,
+    /// The same name has a new incarnation.
+    Restarted,
+    /// A server takes no new requests.
+    Leaving,
+    /// The entry vanished while the platform was in trouble; the server stays in use for now.
+    Lapsed,
+    /// The server is gone.
+    Gone,
+}
+
+#[derive(Debug)]
+struct Known {
+    backend: Arc<Backend>,
+    leaving: bool,
+    /// Whether the entry vanished and the server is kept on trust.
+    lapsed: bool,
+}
+
+/// Decides which servers may be asked.
+#[derive(Debug)]
+pub struct Directory {
+    data_centre: DataCentreId,
+    servers: IndexMap<SearcherId, Known>,
+    /// Time until which a missing entry may still come back; `None` while the platform is well.
+    doubtful_until: Option<Instant>,
+    /// Whether the platform cannot be read now.
+    is_cut: bool,
+}
+
+impl Directory {
+    /// Makes an empty directory of an instance in `data_centre`.
+    #[must_use]
+    pub fn new(data_centre: DataCentreId) -> Self {
+        Self {
+            data_centre,
+            servers: IndexMap::new(),
+            doubtful_until: None,
+            is_cut: false,
+        }
+    }
+
+    /// Takes that a read of the platform failed.
+    pub fn on_platform_lost(&mut self) {
+        self.is_cut = true;
+    }
+
+    /// Takes that a read of the platform succeeded. After a loss, missing entries count as lapsed for [`LAPSE_GRACE`].
+    pub fn on_platform_read(&mut self, now: Instant) {
+        if self.is_cut {
+            self.is_cut = false;
+            self.doubtful_until = Some(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Takes the entry of a server.
+    pub fn on_entry(&mut self, entry: BackendEntry, now: Instant) -> Effect {
+        if let Some(known) = self.servers.get_mut(&entry.id) {
+            let before = &known.backend.entry;
+            let same = before.born == entry.born && before.address == entry.address && before.service == entry.service;
+            if same {
+                known.lapsed = false;
+                let effect = match (known.leaving, entry.leaving) {
+                    (false, true) => Effect::Leaving,
+                    (true, false) => Effect::Joined,
+                    _ => Effect::Unchanged,
+                };
+                known.leaving = entry.leaving;
+                return effect;
+            }
+        }
+        let leaving = entry.leaving;
+        let id = entry.id.clone();
+        let backend = Backend {
+            is_local: entry.data_centre == self.data_centre,
+            pool: Pool::new(entry.address),
+            standing: Mutex::new(Standing::new(entry.slots, entry.warmup, now)),
+            entry,
+        };
+        let known = Known {
+            backend: Arc::new(backend),
+            leaving,
+            lapsed: false,
+        };
+        match (self.servers.insert(id, known), leaving) {
+            (_, true) => Effect::Leaving,
+            (Some(_), false) => Effect::Restarted,
+            (None, false) => Effect::Joined,
+        }
+    }
+
+    /// Takes that the entry of a server is missing.
+    pub fn on_missing(&mut self, id: &str, now: Instant) -> Effect {
+        let doubtful = self.is_cut || self.doubtful_until.is_some_and(|until| now < until);
+        let Some(known) = self.servers.get_mut(id) else {
+            return Effect::Unchanged;
+        };
+        if doubtful && !known.leaving {
+            known.lapsed = true;
+            return Effect::Lapsed;
+        }
+        self.servers.shift_remove(id);
+        Effect::Gone
+    }
+
+    /// Takes that the name holds nothing that can be read. It names no server to use.
+    pub fn on_unreadable(&mut self, id: &str) -> Effect {
+        match self.servers.shift_remove(id) {
+            Some(_) => Effect::Gone,
+            None => Effect::Unchanged,
+        }
+    }
+
+    /// Returns the names of the servers that are known.
+    pub fn ids(&self) -> impl Iterator<Item = &SearcherId> {
+        self.servers.keys()
+    }
+
+    /// Returns the time at which lapsed entries have to be judged.
+    #[must_use]
+    pub const fn next_wakeup(&self) -> Option<Instant> {
+        if self.is_cut { None } else { self.doubtful_until }
+    }
+
+    /// Removes servers whose entries did not come back in time, and returns their names.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<SearcherId> {
+        if self.is_cut || self.doubtful_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.doubtful_until = None;
+        let lapsed = self.servers.iter().filter(|(_, known)| known.lapsed);
+        let gone: Vec<SearcherId> = lapsed.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.servers.shift_remove(id);
+        }
+        gone
+    }
+
+    /// Returns the servers that may be asked. `instances` is the number of instances that share the connections of a
+    /// server.
+    #[must_use]
+    pub fn view(&self, routing: Option<&Routing>, instances: u32) -> View {
+        let mut services: IndexMap<ServiceId, Vec<Arc<Backend>>> = IndexMap::new();
+        for known in self.servers.values().filter(|known| !known.leaving) {
+            let backend = &known.backend;
+            let limits = routing.and_then(|routing| routing.services.get(&backend.entry.service));
+            let all = limits.map_or(DEFAULT_CONNECTIONS, |limits| limits.connections);
+            backend.pool.set_limit((all / instances.max(1)).max(LEAST_CONNECTIONS));
+            let servers = services.entry(backend.entry.service.clone()).or_default();
+            servers.push(Arc::clone(backend));
+        }
+        View { services }
+    }
+}
--- /dev/null
+++ b/src/process/backends/standing.rs
@@ -0,0 +1,246 @@
+//! Observations of one backend server, and the time that a new request is expected to take there.
+//!
+//! Load pattern: servers of a shard are equal until one pauses, turns slow, falls silent or crashes. Requests in flight
+//! show a pause before any answer does; answers show a slow server; failures show a crash.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Weight of a new value in the moving average of the slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+
+/// Time in which the excess of the slowness halves without new values, so that a server that recovered is asked again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Greatest slowness that is remembered. A server of twelve times the usual latency occurs; more carries no information.
+const SLOWNESS_MAX: f64 = 16.0;
+
+/// Age up to which the load figures of an answer are believed.
+const LOAD_MAX_AGE: Duration = Duration::from_millis(150);
+
+/// Age of a request in flight, as a multiple of its expected time, from which the server counts as stalled.
+const STALL_FACTOR: f64 = 2.5;
+
+/// Least age of a request in flight from which the server counts as stalled.
+const STALL_MIN: Duration = Duration::from_millis(25);
+
+/// Time that a stalled server is expected to stay so: the usual length of a pause.
+const STALL_TIME: Duration = Duration::from_millis(200);
+
+/// First time that a server is avoided after a failure. It doubles with each further failure.
+const AVOID_FIRST: Duration = Duration::from_millis(250);
+
+/// Longest time that a server is avoided after failures. A crashed server is back after four to six seconds.
+const AVOID_MAX: Duration = Duration::from_secs(2);
+
+/// Time that a server is avoided after it refused a request because it was full. Its queue of some twenty requests is
+/// worked off in about this time.
+const FULL_TIME: Duration = Duration::from_millis(60);
+
+/// Wait without an answer from which a server counts as silent: longer than a pause of 200 ms.
+const SILENT_MIN: Duration = Duration::from_millis(300);
+
+/// Wait without an answer from which a server counts as silent, as a multiple of the usual latency.
+const SILENT_RATIO: f64 = 8.0;
+
+/// Slowness of a server that has just started.
+const COLD_SLOWNESS: f64 = 1.6;
+
+/// Load figures that a server sent with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadFigures {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at one time.
+    pub slots: u32,
+}
+
+/// Identifies a request in flight at one server.
+pub type FlightNumber = u64;
+
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    number: FlightNumber,
+    sent: Instant,
+    expected: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    load: LoadFigures,
+    /// Own requests in flight when the figures came.
+    own: u32,
+    at: Instant,
+}
+
+/// What is known of one server.
+#[derive(Debug)]
+pub struct Standing {
+    slots: u32,
+    flights: Vec<Flight>,
+    next: FlightNumber,
+    slowness: f64,
+    slowness_at: Instant,
+    reported: Option<Reported>,
+    failures: u32,
+    avoid_until: Option<Instant>,
+    full_until: Option<Instant>,
+    cold_until: Instant,
+}
+
+impl Standing {
+    /// Makes the standing of a server with `slots` slots that is cold for `warmup` longer.
+    #[must_use]
+    pub fn new(slots: u32, warmup: Duration, now: Instant) -> Self {
+        Self {
+            slots: slots.max(1),
+            flights: Vec::new(),
+            next: 0,
+            slowness: 1.0,
+            slowness_at: now,
+            reported: None,
+            failures: 0,
+            avoid_until: None,
+            full_until: None,
+            cold_until: now + warmup,
+        }
+    }
+
+    /// Takes a request that is sent and was expected to take `expected`.
+    pub fn begin(&mut self, expected: Duration, now: Instant) -> FlightNumber {
+        self.next += 1;
+        self.flights.push(Flight {
+            number: self.next,
+            sent: now,
+            expected,
+        });
+        self.next
+    }
+
+    /// Takes the end of a request, however it ended.
+    pub fn end(&mut self, number: FlightNumber) {
+        self.flights.retain(|flight| flight.number != number);
+    }
+
+    /// Takes the latency of an answer of a request whose usual latency is `usual`.
+    pub fn on_answer(&mut self, latency: Duration, usual: Option<Duration>, now: Instant) {
+        self.failures = 0;
+        self.avoid_until = None;
+        if let Some(usual) = usual.filter(|usual| !usual.is_zero()) {
+            let ratio = (latency.as_secs_f64() / usual.as_secs_f64()).min(SLOWNESS_MAX);
+            let before = self.slowness(now);
+            self.slowness = (ratio - before).mul_add(SLOWNESS_WEIGHT, before);
+            self.slowness_at = now;
+        }
+    }
+
+    /// Takes that a request was given up after `waited`. A wait that is long for the server shows that it is slow, and a
+    /// very long one that it is silent.
+    pub fn on_abandoned(&mut self, waited: Duration, usual: Option<Duration>, now: Instant) {
+        let Some(usual) = usual.filter(|usual| !usual.is_zero()) else {
+            return;
+        };
+        let ratio = (waited.as_secs_f64() / usual.as_secs_f64()).min(SLOWNESS_MAX);
+        let before = self.slowness(now);
+        if ratio > before {
+            self.slowness = before.midpoint(ratio);
+            self.slowness_at = now;
+        }
+        if waited >= SILENT_MIN && ratio >= SILENT_RATIO {
+            self.on_failure(now);
+        }
+    }
+
+    /// Takes the load figures of an answer.
+    pub fn on_load(&mut self, load: LoadFigures, now: Instant) {
+        if load.slots > 0 {
+            self.slots = load.slots;
+        }
+        self.reported = Some(Reported {
+            load,
+            own: self.flights.len() as u32,
+            at: now,
+        });
+    }
+
+    /// Takes a refusal because the server was full.
+    pub fn on_full(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL_TIME);
+    }
+
+    /// Takes a failure: no connection, a connection that broke, or an answer that did not come.
+    pub fn on_failure(&mut self, now: Instant) {
+        let time = AVOID_FIRST.saturating_mul(1 << self.failures.min(8)).min(AVOID_MAX);
+        self.failures += 1;
+        self.avoid_until = Some(now + time);
+    }
+
+    /// Tells whether the server is avoided after failures.
+    #[must_use]
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| now < until)
+    }
+
+    /// Tells whether the server failed last, so that the next request to it is a probe.
+    #[must_use]
+    pub const fn is_doubtful(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns the number of own requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Returns the time that a new request of the usual latency `usual` is expected to take.
+    #[must_use]
+    pub fn expected(&self, usual: Duration, now: Instant) -> Duration {
+        let mut slowness = self.slowness(now).max(0.5);
+        if now < self.cold_until {
+            slowness = slowness.max(COLD_SLOWNESS);
+        }
+        let load = self.load(now) + 1;
+        let rounds = (f64::from(load) / f64::from(self.slots)).max(1.0);
+        // A server near its last slot slows down, so a busy server costs a little even before requests wait.
+        let busy = 0.1 * f64::from(load - 1) / f64::from(self.slots);
+        let mut expected = usual.mul_f64(slowness * (rounds + busy));
+        if self.is_stalled(now) {
+            expected += STALL_TIME;
+        }
+        if self.full_until.is_some_and(|until| now < until) {
+            expected += FULL_TIME;
+        }
+        expected
+    }
+
+    /// Tells whether a request in flight takes so much longer than expected that the server must be held up.
+    #[must_use]
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        self.flights.iter().any(|flight| {
+            let limit = flight.expected.mul_f64(STALL_FACTOR).max(STALL_MIN);
+            now.saturating_duration_since(flight.sent) > limit
+        })
+    }
+
+    /// Returns the requests at the server as far as known: the figures of the last answer while they are fresh,
+    /// corrected by the own requests sent since.
+    fn load(&self, now: Instant) -> u32 {
+        let own = self.flights.len() as u32;
+        let fresh = self
+            .reported
+            .filter(|reported| now.saturating_duration_since(reported.at) < LOAD_MAX_AGE);
+        fresh.map_or(own, |reported| {
+            let others = (reported.load.running + reported.load.waiting).saturating_sub(reported.own);
+            own + others
+        })
+    }
+
+    fn slowness(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.slowness_at).as_secs_f64();
+        let left = (-age / SLOWNESS_HALF_LIFE.as_secs_f64()).exp2();
+        (self.slowness - 1.0).mul_add(left, 1.0)
+    }
+}
--- /dev/null
+++ b/src/process/catalogue.rs
@@ -0,0 +1,156 @@
+//! Keeps the configuration and the list of backend servers of this instance up to date from the platform.
+//!
+//! [`Catalogue`] is the edge of the process: the adapter of a platform implements it. [`run`] reads everything once and
+//! then waits for changes from where it stopped, so that nothing is missed. When the platform fails, the instance goes on
+//! with what it knows. See "Reading the platform" in `docs/design/platform.md`.
+
+use std::future::Future;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use slog::info;
+use slog::warn;
+
+use crate::ids::Revision;
+use crate::ids::SearcherId;
+use crate::process::backends::BackendEntry;
+use crate::process::gateway::Gateway;
+use crate::version::routing::Routing;
+
+/// Time for which a read waits for changes. A connection that fell silent is noticed one such time later, which must lie
+/// below the time in which a change has to be in effect (3 s) together with the time that follows any loss (4 s).
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
+
+/// First pause after a failed read. It doubles with each further failure.
+const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed reads; a platform that returns must be noticed within the time in which a change has to be
+/// in effect.
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+
+/// Position in the changes of the platform.
+pub type Position = u64;
+
+/// One item of what the platform holds.
+#[derive(Debug)]
+pub enum Item {
+    /// The configuration.
+    Routing(Box<Routing>),
+    /// The entry of a backend server.
+    Server(BackendEntry),
+    /// The entry of a backend server is gone.
+    ServerMissing(SearcherId),
+    /// A value that cannot be read. It names no server and no configuration to use.
+    Unreadable {
+        /// Where it lies.
+        key: Box<str>,
+        /// Name under which a backend server would be known.
+        server: Option<SearcherId>,
+        /// Why it cannot be read.
+        reason: Box<str>,
+    },
+}
+
+/// Items with the position from which changes have to be followed.
+#[derive(Debug)]
+pub struct Items {
+    /// The items.
+    pub items: Vec<Item>,
+    /// Position after them.
+    pub position: Position,
+}
+
+/// Failure of a read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// The platform cannot be reached, broke off or did not answer in time.
+    #[error("platform unreachable: {0}")]
+    Unreachable(Box<str>),
+    /// The platform refuses reads for now.
+    #[error("platform refused the read with status {0}")]
+    Refused(u16),
+    /// The changes after the position are no longer there; everything has to be read again.
+    #[error("changes after the position are gone")]
+    Forgotten,
+    /// The answer does not follow the platform's interface.
+    #[error("malformed answer of the platform: {0}")]
+    Malformed(Box<str>),
+}
+
+/// Reads of the platform.
+pub trait Catalogue: Send {
+    /// Reads everything, as of now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read.
+    fn read_all(&mut self) -> impl Future<Output = Result<Items, ReadError>> + Send;
+
+    /// Waits up to `wait` for changes after `position`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read, or has forgotten the changes.
+    fn read_changes(
+        &mut self,
+        position: Position,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Items, ReadError>> + Send;
+}
+
+/// Follows the platform until the process ends.
+pub async fn run(mut catalogue: impl Catalogue, gateway: std::sync::Arc<Gateway>, mut rng: SmallRng) {
+    let mut position: Option<Position> = None;
+    let mut failures = 0_u32;
+    loop {
+        let whole = position.is_none();
+        let read = match position {
+            None => catalogue.read_all().await,
+            Some(position) => catalogue.read_changes(position, WATCH_WAIT).await,
+        };
+        match read {
+            Ok(items) => {
+                if failures > 0 {
+                    info!(gateway.log, "platform_regained"; "failures" => failures);
+                }
+                failures = 0;
+                position = Some(items.position);
+                gateway.on_platform_items(items.items, whole);
+            }
+            Err(ReadError::Forgotten) => {
+                info!(gateway.log, "platform_changes_forgotten"; "position" => position);
+                position = None;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    warn!(gateway.log, "platform_lost"; "error" => %error, "position" => position);
+                }
+                gateway.on_platform_lost();
+                let pause = BACKOFF_FIRST.saturating_mul(1 << failures.min(8)).min(BACKOFF_MAX);
+                failures += 1;
+                tokio::time::sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
+            }
+        }
+    }
+}
+
+/// Returns the names among `known` that `items` do not hold.
+#[must_use]
+pub fn missing<'a>(known: impl Iterator<Item = &'a SearcherId>, items: &[Item]) -> Vec<SearcherId> {
+    let listed: IndexSet<&SearcherId> = items
+        .iter()
+        .filter_map(|item| match item {
+            Item::Server(entry) => Some(&entry.id),
+            _ => None,
+        })
+        .collect();
+    known.filter(|id| !listed.contains(id)).cloned().collect()
+}
+
+/// Tells whether a configuration replaces the one in effect.
+#[must_use]
+pub fn replaces(next: Revision, current: Option<Revision>) -> bool {
+    current.is_none_or(|current| next > current)
+}
--- /dev/null
+++ b/src/process/extra.rs
@@ -0,0 +1,94 @@
+//! Bound on the attempts beyond the first of each request, over a sliding window.
+//!
+//! Load pattern: many backend servers are slow at once, so every request wants a second attempt. The bound is a fraction
+//! of the requests of this instance in the window plus a small allowance. The fractions of all instances add up to the
+//! fraction of all requests, so the total holds without coordination when instances come and go.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Slots of the window. More slots make the window slide more smoothly and cost memory for each service.
+const SLOTS: usize = 16;
+
+/// Share of the stated ratio that this instance uses. The rest covers requests that are counted in another window than
+/// their extra attempts.
+const USED_SHARE: f64 = 0.9;
+
+/// Bound on extra attempts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExtraLimits {
+    /// Extra attempts allowed for each request in the window.
+    pub ratio: f64,
+    /// Extra attempts that this instance may make beyond the ratio in a window.
+    pub allowance: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Counts of one service.
+#[derive(Debug)]
+pub struct ExtraBudget {
+    epoch: Instant,
+    /// Number of the slot that was written last, counted from the epoch.
+    slot: u64,
+    requests: [u32; SLOTS],
+    extras: [u32; SLOTS],
+}
+
+impl ExtraBudget {
+    /// Makes an empty budget.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            epoch: now,
+            slot: 0,
+            requests: [0; SLOTS],
+            extras: [0; SLOTS],
+        }
+    }
+
+    /// Counts a request for the service.
+    pub fn on_request(&mut self, limits: &ExtraLimits, now: Instant) {
+        let slot = self.advance(limits, now);
+        self.requests[slot] += 1;
+    }
+
+    /// Takes an extra attempt, and tells whether the window has room for it.
+    pub fn take(&mut self, limits: &ExtraLimits, now: Instant) -> bool {
+        let slot = self.advance(limits, now);
+        let requests: u32 = self.requests.iter().sum();
+        let extras: u32 = self.extras.iter().sum();
+        let allowed = f64::from(requests) * limits.ratio * USED_SHARE + limits.allowance;
+        if f64::from(extras) + 1.0 > allowed {
+            return false;
+        }
+        self.extras[slot] += 1;
+        true
+    }
+
+    /// Gives back an extra attempt that never reached a server.
+    pub fn put_back(&mut self, limits: &ExtraLimits, now: Instant) {
+        let slot = self.advance(limits, now);
+        let start = slot + SLOTS;
+        let latest = (0..SLOTS).map(|back| (start - back) % SLOTS);
+        if let Some(slot) = latest.into_iter().find(|slot| self.extras[*slot] > 0) {
+            self.extras[slot] -= 1;
+        }
+    }
+
+    /// Clears the slots that have left the window and returns the position of the current one. One slot more than the
+    /// window is kept, so that no span of the window's length holds more than was counted.
+    fn advance(&mut self, limits: &ExtraLimits, now: Instant) -> usize {
+        let length = limits.window.div_f64((SLOTS - 1) as f64).max(Duration::from_millis(1));
+        let passed = now.saturating_duration_since(self.epoch).as_nanos() / length.as_nanos();
+        let current = u64::try_from(passed).unwrap_or(u64::MAX);
+        let steps = current.saturating_sub(self.slot).min(SLOTS as u64);
+        for step in 0..steps {
+            let slot = ((current - step) % SLOTS as u64) as usize;
+            self.requests[slot] = 0;
+            self.extras[slot] = 0;
+        }
+        self.slot = self.slot.max(current);
+        (self.slot % SLOTS as u64) as usize
+    }
+}
--- /dev/null
+++ b/src/process/gateway.rs
@@ -0,0 +1,277 @@
+//! Gateway: takes whole HTTP requests of callers and forwards each to one backend server, or to one of every shard.
+//!
+//! The gateway owns the state that all requests share: the routing and the servers in effect, the latencies of routes, the
+//! budgets of extra attempts, and readiness. The decisions of one request are in [`crate::request::fanout`]. See
+//! `docs/design/platform.md`.
+
+mod answer;
+mod head;
+mod measures;
+mod place;
+mod program;
+mod request;
+mod settings;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwapOption;
+use indexmap::IndexMap;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+pub use head::HeaderNames;
+pub use program::run;
+pub(crate) use request::serve;
+pub use settings::GatewaySettings;
+
+use crate::ids::ServiceId;
+use crate::process::admin::Readiness;
+use crate::process::backends::Directory;
+use crate::process::backends::Effect;
+use crate::process::backends::View;
+use crate::process::catalogue;
+use crate::process::catalogue::Item;
+use crate::process::extra::ExtraBudget;
+use crate::process::gateway::measures::Measures;
+use crate::process::http::HttpLimits;
+use crate::process::pace::Pace;
+use crate::version::routing::CallerLimits;
+use crate::version::routing::Routing;
+
+/// Time that a caller that is refused waits before it comes back while this instance knows no configuration. Reading
+/// everything takes a few round trips to the platform.
+const STARTING_RETRY: Duration = Duration::from_millis(300);
+
+/// Time in which a caller must take some bytes of an answer; one that does not read would hold its answer in memory.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Connections of callers that are open at one time. Each takes a descriptor and some 20 KB of buffers.
+const CALLER_CONNECTIONS: usize = 4096;
+
+/// What is in effect for a request that arrives now.
+#[derive(Debug)]
+pub(crate) struct Effective {
+    pub(crate) routing: Arc<Routing>,
+    pub(crate) view: Arc<View>,
+}
+
+/// State shared by all requests of an instance.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Logger.
+    pub log: Logger,
+    pub(crate) names: HeaderNames,
+    pub(crate) settings: GatewaySettings,
+    pub(crate) measures: Measures,
+    readiness: Readiness,
+    effective: ArcSwapOption<Effective>,
+    known: Mutex<Known>,
+    paces: Mutex<IndexMap<Box<str>, Arc<Mutex<Pace>>>>,
+    budgets: Mutex<IndexMap<ServiceId, ExtraBudget>>,
+    in_flight: AtomicUsize,
+}
+
+/// What is known from the platform.
+#[derive(Debug)]
+struct Known {
+    directory: Directory,
+    routing: Option<Arc<Routing>>,
+    is_listed: bool,
+    is_stopping: bool,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows nothing of the platform yet.
+    #[must_use]
+    pub fn new(
+        settings: GatewaySettings,
+        names: HeaderNames,
+        log: Logger,
+    ) -> (Arc<Self>, prometheus_client::registry::Registry) {
+        let (measures, registry) = Measures::new();
+        let known = Known {
+            directory: Directory::new(settings.data_centre.clone()),
+            routing: None,
+            is_listed: false,
+            is_stopping: false,
+        };
+        let gateway = Self {
+            log,
+            names,
+            settings,
+            measures,
+            readiness: Readiness::default(),
+            effective: ArcSwapOption::empty(),
+            known: Mutex::new(known),
+            paces: Mutex::default(),
+            budgets: Mutex::default(),
+            in_flight: AtomicUsize::new(0),
+        };
+        (Arc::new(gateway), registry)
+    }
+
+    /// Returns the flag that the balancer reads.
+    #[must_use]
+    pub fn readiness(&self) -> Readiness {
+        self.readiness.clone()
+    }
+
+    /// Returns the number of requests that are being served.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the limits of connections of callers under the configuration in effect.
+    #[must_use]
+    pub fn http_limits(&self) -> HttpLimits {
+        let effective = self.effective.load();
+        let limits = effective
+            .as_ref()
+            .map_or_else(CallerLimits::default, |now| now.routing.limits);
+        HttpLimits {
+            connections: CALLER_CONNECTIONS,
+            buffer_bytes: limits.header_bytes,
+            head_timeout: limits.idle,
+            write_timeout: WRITE_TIMEOUT,
+        }
+    }
+
+    /// Takes items read from the platform. `whole` tells that they are all there is.
+    pub fn on_platform_items(&self, items: Vec<Item>, whole: bool) {
+        let now = Instant::now();
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.directory.on_platform_read(now);
+        let mut changed = whole;
+        if whole {
+            known.is_listed = true;
+            for id in catalogue::missing(known.directory.ids(), &items) {
+                let effect = known.directory.on_missing(&id, now);
+                changed |= self.note(&id, effect);
+            }
+        }
+        for item in items {
+            changed |= self.on_item(&mut known, item, now);
+        }
+        for id in known.directory.on_tick(now) {
+            changed |= self.note(&id, Effect::Gone);
+        }
+        if changed {
+            self.put_in_effect(&known);
+        }
+    }
+
+    /// Takes that a read of the platform failed.
+    pub fn on_platform_lost(&self) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.directory.on_platform_lost();
+    }
+
+    /// Takes the passing of time: judges entries that lapsed.
+    pub fn on_tick(&self) {
+        let now = Instant::now();
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let gone = known.directory.on_tick(now);
+        for id in &gone {
+            self.note(id, Effect::Gone);
+        }
+        if !gone.is_empty() {
+            self.put_in_effect(&known);
+        }
+    }
+
+    /// Takes the beginning of a planned stop: the balancer is told to send no new connections.
+    pub fn begin_stop(&self) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.is_stopping = true;
+        self.readiness.set(false);
+    }
+
+    fn on_item(&self, known: &mut Known, item: Item, now: Instant) -> bool {
+        match item {
+            Item::Routing(routing) => {
+                let current = known.routing.as_ref().map(|current| current.revision);
+                if !catalogue::replaces(routing.revision, current) {
+                    return false;
+                }
+                info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
+                    "routes" => routing.len(), "services" => routing.services.len());
+                known.routing = Some(Arc::from(routing));
+                true
+            }
+            Item::Server(entry) => {
+                let id = entry.id.clone();
+                let effect = known.directory.on_entry(entry, now);
+                self.note(&id, effect)
+            }
+            Item::ServerMissing(id) => {
+                let effect = known.directory.on_missing(&id, now);
+                self.note(&id, effect)
+            }
+            Item::Unreadable { key, server, reason } => {
+                warn!(self.log, "platform_value_unreadable"; "key" => &*key, "reason" => &*reason);
+                server.is_some_and(|id| {
+                    let effect = known.directory.on_unreadable(&id);
+                    self.note(&id, effect)
+                })
+            }
+        }
+    }
+
+    /// Logs what changed for a server, and tells whether requests see it.
+    fn note(&self, server: &str, effect: Effect) -> bool {
+        let event = match effect {
+            Effect::Unchanged => return false,
+            Effect::Joined => "server_joined",
+            Effect::Restarted => "server_restarted",
+            Effect::Leaving => "server_leaving",
+            Effect::Lapsed => "server_lapsed",
+            Effect::Gone => "server_gone",
+        };
+        info!(self.log, "server_changed"; "server" => server, "change" => event);
+        effect != Effect::Lapsed
+    }
+
+    fn put_in_effect(&self, known: &Known) {
+        let Some(routing) = &known.routing else { return };
+        let view = known.directory.view(Some(routing), self.settings.sharers);
+        self.effective.store(Some(Arc::new(Effective {
+            routing: Arc::clone(routing),
+            view: Arc::new(view),
+        })));
+        self.measures
+            .revision
+            .set(i64::try_from(routing.revision).unwrap_or(i64::MAX));
+        if known.is_listed && !known.is_stopping && !self.readiness.get() {
+            info!(self.log, "ready"; "revision" => routing.revision);
+            self.readiness.set(true);
+        }
+    }
+
+    /// Returns the latencies of a route. Routes keep them across versions by their names.
+    fn pace(&self, route: &str) -> Arc<Mutex<Pace>> {
+        let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pace) = paces.get(route) {
+            return Arc::clone(pace);
+        }
+        let pace: Arc<Mutex<Pace>> = Arc::default();
+        paces.insert(route.into(), Arc::clone(&pace));
+        pace
+    }
+
+    /// Calls `act` with the budget of extra attempts of a service.
+    fn with_budget<T>(&self, service: &str, now: Instant, act: impl FnOnce(&mut ExtraBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        match budgets.get_mut(service) {
+            Some(budget) => act(budget),
+            None => act(budgets.entry(service.into()).or_insert_with(|| ExtraBudget::new(now))),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/gateway/answer.rs
@@ -0,0 +1,74 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use crate::process::gateway::head::HeaderNames;
+use crate::process::gateway::head::strip_connection_headers;
+use crate::request::records;
+
+/// Answer to a caller.
+pub(crate) type CallerAnswer = Response<Bytes>;
+
+/// Good answer of one part.
+#[derive(Debug, Clone)]
+pub(crate) struct PartAnswer {
+    pub(crate) signature: HeaderValue,
+    pub(crate) body: Bytes,
+}
+
+/// Makes an answer of this tier itself, which bears no signature of a backend server.
+pub(crate) fn own(status: StatusCode, text: &'static str) -> CallerAnswer {
+    let mut answer = Response::new(Bytes::from_static(text.as_bytes()));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    answer
+}
+
+/// Makes the answer that the request has not run and never will, with the time after which the caller should come back.
+pub(crate) fn not_run(text: &'static str, retry_after: Duration) -> CallerAnswer {
+    let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, text);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Passes the answer of a backend server on unchanged.
+pub(crate) fn passed(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> CallerAnswer {
+    strip_connection_headers(&mut headers);
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// Makes the answer over shards from the parts that are there.
+pub(crate) fn merged(names: &HeaderNames, parts: Vec<Option<PartAnswer>>, best: usize) -> CallerAnswer {
+    let all = parts.len();
+    let present: Vec<PartAnswer> = parts.into_iter().flatten().collect();
+    let bodies: Vec<Bytes> = present.iter().map(|part| part.body.clone()).collect();
+    let mut answer = Response::new(records::greatest(&bodies, best));
+    let headers = answer.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/octet-stream"),
+    );
+    headers.insert(
+        names.missing_parts.clone(),
+        HeaderValue::from((all - present.len()) as u64),
+    );
+    let signatures: Vec<&[u8]> = present.iter().map(|part| part.signature.as_bytes()).collect();
+    if let Ok(value) = HeaderValue::from_bytes(&signatures.join(&b", "[..])) {
+        headers.insert(names.part_signatures.clone(), value);
+    }
+    answer
+}
--- /dev/null
+++ b/src/process/gateway/head.rs
@@ -0,0 +1,110 @@
+//! Heads of requests and answers: which headers pass, and those that the gateway reads and sets.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+
+use crate::process::backends::standing::LoadFigures;
+
+/// Names of the headers that a platform uses between callers, this tier and backend servers.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Identity of one attempt of a caller.
+    pub request_id: HeaderName,
+    /// Time that the sender still waits, in whole milliseconds.
+    pub remaining_ms: HeaderName,
+    /// Proof of a backend server that it made the answer.
+    pub signature: HeaderName,
+    /// Backend server that is meant; any other one refuses.
+    pub expected_server: HeaderName,
+    /// Load figures of a backend server: running, waiting, slots.
+    pub load: HeaderName,
+    /// Statement of a backend server that it did not run the request.
+    pub not_run: HeaderName,
+    /// Signatures of the parts in an answer over shards.
+    pub part_signatures: HeaderName,
+    /// Number of shards that an answer leaves out.
+    pub missing_parts: HeaderName,
+}
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Request to a backend server, without what differs between attempts.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Outgoing {
+    /// Makes the request of one attempt.
+    pub(crate) fn attempt(&self, names: &HeaderNames, server: &str, left: Duration) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+        headers.insert(names.remaining_ms.clone(), HeaderValue::from(millis));
+        if let Ok(server) = HeaderValue::from_str(server) {
+            headers.insert(names.expected_server.clone(), server);
+        }
+        request
+    }
+}
+
+/// Removes the headers that concern one connection only, and the framing of the body, which is set anew.
+pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+}
+
+/// Returns a number of milliseconds.
+pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let text = headers.get(name)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Returns the load figures of an answer.
+pub(crate) fn load_figures(headers: &HeaderMap, name: &HeaderName) -> Option<LoadFigures> {
+    let text = headers.get(name)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(LoadFigures {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
--- /dev/null
+++ b/src/process/gateway/measures.rs
@@ -0,0 +1,83 @@
+//! Metrics of a gateway.
+
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::process::metrics::LATENCY_BUCKETS;
+
+/// Labels of a forwarded request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RouteLabels {
+    /// Service of the request, or the first shard's, or empty when no route took it.
+    pub(crate) service: String,
+    /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `no_route` or `malformed`.
+    pub(crate) outcome: &'static str,
+}
+
+/// Labels of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    /// `first`, `hedge` or `retry`.
+    pub(crate) cause: &'static str,
+    /// `answered`, `not_run`, `failed` or `unsent`.
+    pub(crate) ending: &'static str,
+}
+
+/// Metrics of a gateway.
+#[derive(Clone)]
+pub(crate) struct Measures {
+    pub(crate) requests: Family<RouteLabels, Counter>,
+    pub(crate) latency: Family<RouteLabels, Histogram, fn() -> Histogram>,
+    pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) denied: Counter,
+    pub(crate) revision: Gauge,
+}
+
+impl fmt::Debug for Measures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Measures").finish_non_exhaustive()
+    }
+}
+
+impl Measures {
+    pub(crate) fn new() -> (Self, Registry) {
+        let measures = Self {
+            requests: Family::default(),
+            latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
+            attempts: Family::default(),
+            denied: Counter::default(),
+            revision: Gauge::default(),
+        };
+        let mut registry = Registry::with_prefix("pimento_gateway");
+        registry.register("requests", "Requests of callers answered", measures.requests.clone());
+        registry.register("request_seconds", "Latency of requests", measures.latency.clone());
+        registry.register("attempts", "Attempts at backend servers", measures.attempts.clone());
+        registry.register(
+            "denied_extras",
+            "Extra attempts that the budget denied",
+            measures.denied.clone(),
+        );
+        registry.register(
+            "revision",
+            "Configuration revision in effect",
+            measures.revision.clone(),
+        );
+        (measures, registry)
+    }
+
+    pub(crate) fn record(&self, service: &str, outcome: &'static str, latency: Duration) {
+        let labels = RouteLabels {
+            service: service.into(),
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/src/process/gateway/place.rs
@@ -0,0 +1,76 @@
+//! Choice of the backend server for an attempt.
+//!
+//! Load pattern: the servers of a service differ in load, speed and distance from moment to moment. The server with the
+//! least expected time is asked; one in another data centre must be better by the price of the longer way.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use crate::process::backends::Backend;
+use crate::request::fanout::ServerIndex;
+
+/// Time by which a server of another data centre must be better, as a share of the usual latency. Traffic between data
+/// centres is paid for.
+const REMOTE_SHARE: f64 = 0.4;
+
+/// Round trip to a server of another data centre.
+const REMOTE_WAY: Duration = Duration::from_millis(2);
+
+/// Differences between servers that are not told apart, as a share of the usual latency, so that instances that see the
+/// same do not all choose the same server.
+const BLUR: f64 = 0.1;
+
+/// Standing of the best server for an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// This server takes the attempt, and is expected to need this time.
+    Server(ServerIndex, Duration),
+    /// Servers are known, but none has a free connection.
+    Full,
+    /// No server can answer.
+    Nobody,
+}
+
+/// Returns the best of `servers` that is not in `asked`. Servers that failed lately are left alone, except that one is
+/// probed when its time is over.
+pub(crate) fn best(
+    servers: &[Arc<Backend>],
+    asked: &[ServerIndex],
+    usual: Duration,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Place {
+    let mut best: Option<(Duration, ServerIndex, Duration)> = None;
+    let mut full = false;
+    for (ix, server) in servers.iter().enumerate() {
+        if asked.contains(&ix) {
+            continue;
+        }
+        let standing = server.standing();
+        // One probe at a time shows whether a server that failed is back.
+        if standing.is_avoided(now) || (standing.is_doubtful() && standing.in_flight() > 0) {
+            continue;
+        }
+        if !server.pool.has_room() {
+            full = true;
+            continue;
+        }
+        let expected = standing.expected(usual, now);
+        drop(standing);
+        let mut cost = expected + usual.mul_f64(BLUR * rng.random::<f64>());
+        if !server.is_local {
+            cost += REMOTE_WAY + usual.mul_f64(REMOTE_SHARE);
+        }
+        if best.is_none_or(|(least, _, _)| cost < least) {
+            best = Some((cost, ix, expected));
+        }
+    }
+    match best {
+        Some((_, ix, expected)) => Place::Server(ix, expected),
+        None if full => Place::Full,
+        None => Place::Nobody,
+    }
+}
--- /dev/null
+++ b/src/process/gateway/settings.rs
@@ -0,0 +1,31 @@
+//! Settings of a gateway, as the adapter of a platform decodes them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::DataCentreId;
+use crate::ids::InstanceId;
+use crate::process::extra::ExtraLimits;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Path at which the balancer asks for readiness.
+    pub ready_path: Box<str>,
+    /// Address of metrics.
+    pub metrics: SocketAddr,
+    /// Number of instances that are taken to share the connections of a backend server.
+    pub sharers: u32,
+    /// Bound on extra attempts of this instance.
+    pub extra: ExtraLimits,
+    /// Time between the signal to stop and the end of the process by force.
+    pub grace: Duration,
+}
--- a/src/process/http.rs
+++ b/src/process/http.rs
@@ -38,7 +38,10 @@
 use volo_http::server::IntoResponse;
 use volo_http::server::route::Router;
 
-/// Time that a connection may be idle, and within which the head of a request must arrive; the library has one limit for
+use crate::process::gateway;
+use crate::process::gateway::Gateway;
+
+/// Default time that a connection may be idle, and within which the head of a request must arrive; the library has one limit for
 /// both. It is above the 60 s after which load balancers usually drop idle connections, so that the balancer and not this
 /// server closes them: a server that closes first can cut a request that is on its way.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
@@ -55,8 +58,10 @@
 pub struct HttpLimits {
     /// Connections open at one time; further ones wait in the backlog of the listener.
     pub connections: usize,
-    /// Bytes buffered for one connection.
+    /// Bytes buffered for one connection, which bounds the head of a request.
     pub buffer_bytes: usize,
+    /// Time that a connection may be idle, and within which the head of a request must arrive.
+    pub head_timeout: Duration,
     /// Time in which a caller must take some bytes of an answer. Without it a caller that does not read would hold its
     /// answer in memory for as long as it likes.
     pub write_timeout: Duration,
@@ -68,6 +73,7 @@
         Self {
             connections: 4096,
             buffer_bytes: 16 * 1024,
+            head_timeout: HEAD_TIMEOUT,
             write_timeout: Duration::from_secs(30),
         }
     }
@@ -86,10 +92,45 @@
     Ending,
 }
 
+/// What answers the requests of a server.
+#[derive(Clone)]
+pub enum Handler {
+    /// Routes of this process.
+    Routes(Arc<Router<Body, Infallible>>),
+    /// The gateway, which takes requests whole. Its configuration gives the limits.
+    Gateway(Arc<Gateway>),
+}
+
+impl fmt::Debug for Handler {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Routes(_) => "Routes",
+            Self::Gateway(_) => "Gateway",
+        })
+    }
+}
+
+impl Handler {
+    /// Returns the limits of a connection that opens now.
+    fn limits(&self, limits: HttpLimits) -> HttpLimits {
+        match self {
+            Self::Routes(_) => limits,
+            Self::Gateway(gateway) => gateway.http_limits(),
+        }
+    }
+
+    async fn answer(&self, peer: SocketAddr, request: Request<Incoming>) -> Response {
+        match self {
+            Self::Routes(router) => call(router, peer, request).await,
+            Self::Gateway(gateway) => gateway::serve(Arc::clone(gateway), request).await.map(Body::from),
+        }
+    }
+}
+
 /// HTTP server over one listener.
 pub struct HttpServer {
     listener: TcpListener,
-    router: Arc<Router<Body, Infallible>>,
+    handler: Handler,
     limits: HttpLimits,
     log: Logger,
     open: Arc<AtomicUsize>,
@@ -110,16 +151,11 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub async fn bind(
-        address: SocketAddr,
-        router: Router<Body, Infallible>,
-        limits: HttpLimits,
-        log: Logger,
-    ) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, handler: Handler, limits: HttpLimits, log: Logger) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         Ok(Self {
             listener,
-            router: Arc::new(router),
+            handler,
             limits,
             log,
             open: Arc::default(),
@@ -182,8 +218,8 @@
     ) {
         let (stream, peer) = accepted;
         let connection = Connection {
-            router: Arc::clone(&self.router),
-            limits: self.limits,
+            limits: self.handler.limits(self.limits),
+            handler: self.handler.clone(),
             phase: phase.clone(),
             peer,
         };
@@ -212,7 +248,7 @@
 }
 
 struct Connection {
-    router: Arc<Router<Body, Infallible>>,
+    handler: Handler,
     limits: HttpLimits,
     phase: watch::Receiver<ServePhase>,
     peer: SocketAddr,
@@ -223,14 +259,14 @@
         let _best_effort = stream.set_nodelay(true);
         let mut stream = TimeoutStream::new(stream);
         stream.set_write_timeout(Some(self.limits.write_timeout));
-        let router = Arc::clone(&self.router);
+        let handler = self.handler.clone();
         let peer = self.peer;
         let phase = self.phase.clone();
         let service = service_fn(move |request| {
-            let router = Arc::clone(&router);
+            let handler = handler.clone();
             let phase = phase.clone();
             async move {
-                let mut response = call(&router, peer, request).await;
+                let mut response = handler.answer(peer, request).await;
                 if *phase.borrow() >= ServePhase::Closing {
                     response
                         .headers_mut()
@@ -241,7 +277,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(self.limits.head_timeout)
             .max_buf_size(self.limits.buffer_bytes)
             .serve_connection(TokioIo::new(Box::pin(stream)), service);
         let mut connection = pin!(connection);
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -18,15 +18,15 @@
 use slog_async::OverflowStrategy;
 use slog_logfmt::Logfmt;
 
-/// Records that wait for the writer before further ones are dropped and counted, so that a blocked standard error never
+/// Records that wait for the writer before further ones are dropped and counted, so that a blocked standard output never
 /// blocks a request.
 const QUEUE_RECORDS: usize = 8192;
 
-/// Makes the logger of a process, which writes to standard error.
+/// Makes the logger of a process, which writes to standard output.
 ///
 /// The returned guard flushes the queue when it is dropped, so keep it until the process ends.
 pub fn init(level: Level, instance: &str, role: &'static str) -> (Logger, slog_async::AsyncGuard) {
-    let format = Logfmt::new(io::stderr()).set_prefix(write_prefix).build().fuse();
+    let format = Logfmt::new(io::stdout()).set_prefix(write_prefix).build().fuse();
     let (drain, guard) = slog_async::Async::new(format)
         .chan_size(QUEUE_RECORDS)
         .overflow_strategy(OverflowStrategy::DropAndReport)
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -14,7 +14,7 @@
 
 /// Upper bounds of the latency buckets, in seconds. They are dense around the deadlines of today (50 ms to 2 s) so that
 /// burn rates can be read from them.
-const LATENCY_BUCKETS: [f64; 16] = [
+pub(crate) const LATENCY_BUCKETS: [f64; 16] = [
     0.002, 0.005, 0.010, 0.020, 0.030, 0.050, 0.075, 0.100, 0.150, 0.200, 0.300, 0.500, 0.750, 1.0, 2.0, 5.0,
 ];
 
--- a/src/process/program.rs
+++ b/src/process/program.rs
@@ -29,6 +29,7 @@
 use crate::process::entry::Entry;
 use crate::process::entry::fleet_manager;
 use crate::process::entry::routes;
+use crate::process::http::Handler;
 use crate::process::http::HttpLimits;
 use crate::process::http::HttpServer;
 use crate::process::http::ServePhase;
@@ -204,7 +205,7 @@
 impl Builder<'_> {
     async fn serve_admin(&mut self, registry: Registry) -> Result<SocketAddr, StartError> {
         let address = self.settings.listen.admin.0;
-        let routes = admin::routes(registry, self.node.readiness.clone());
+        let routes = admin::routes(registry, self.node.readiness.clone(), None);
         let server = self.http(address, routes).await?;
         let bound = server
             .local_addr()
@@ -224,7 +225,7 @@
         routes: volo_http::server::route::Router<volo_http::body::Body, std::convert::Infallible>,
     ) -> Result<HttpServer, StartError> {
         let log = self.node.log.clone();
-        let bound = HttpServer::bind(address, routes, HttpLimits::default(), log).await;
+        let bound = HttpServer::bind(address, Handler::Routes(Arc::new(routes)), HttpLimits::default(), log).await;
         bound.map_err(|source| StartError::Bind { address, source })
     }
 
--- /dev/null
+++ b/src/request/fanout.rs
@@ -0,0 +1,321 @@
+//! Decisions of one forwarded request: which part is sent when, which is sent once more, and when the answer leaves.
+//!
+//! A request to one service has one part; a request over shards has one part for each shard. The owner carries out the
+//! [`Send`]s, reports how each ended, and asks for the [`Verdict`]. Load patterns:
+//!
+//! * a server pauses or is slow while the others answer: the part is asked again at another server once it takes longer
+//!   than nine in ten do, as far as the budget for extra attempts allows;
+//! * a shard has no server that answers: the answer leaves without it as soon as the objective ends, or at once when
+//!   nothing of it is in flight;
+//! * all servers are full: a part that finds no room within a quarter of the objective is given up, and a request that
+//!   can no longer be answered ends at once.
+//!
+//! See "Time" in `docs/design/platform.md`.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Sends of one part, at most. Sends that were refused or never left count here and not as attempts.
+const MAX_SENDS: usize = 4;
+
+/// Time between two looks at a part that waits for room or for a second attempt.
+const RECHECK: Duration = Duration::from_millis(4);
+
+/// Share of the objective for which a part may wait for room.
+const WAIT_SHARE: f64 = 0.25;
+
+/// Time before the end of the objective at which an answer with parts missing leaves. It covers the way to the caller
+/// and back (3 ms each) and the merge.
+const RETURN_MARGIN: Duration = Duration::from_millis(12);
+
+/// Time before the deadline of the caller at which the request ends, for the same way.
+const END_MARGIN: Duration = Duration::from_millis(10);
+
+/// Position of a server in the list of its service.
+pub type ServerIndex = usize;
+
+/// Limits of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Number of parts.
+    pub parts: usize,
+    /// Least number of parts in an answer.
+    pub least: usize,
+    /// Servers that may run one part.
+    pub attempts: u32,
+    /// Whether a part may run more than once.
+    pub repeatable: bool,
+    /// Time within which the answer has its full value.
+    pub objective: Duration,
+    /// Time within which it must be answered.
+    pub time_limit: Duration,
+}
+
+/// Why a part is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// For the first time.
+    First,
+    /// Once more, since the attempt in flight takes long.
+    Hedge,
+    /// Once more, since the attempt before failed.
+    Retry,
+}
+
+/// Choice of a server for a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Send to this server, and look after this time whether a second attempt is wanted.
+    Send(ServerIndex, Duration),
+    /// No server has room now, or the budget is empty.
+    Later,
+    /// No server is left that could answer.
+    Nobody,
+}
+
+/// A part to send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Send {
+    /// Part number.
+    pub part: usize,
+    /// Server to ask.
+    pub server: ServerIndex,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With the answer of the part.
+    Answered,
+    /// It has not run and never will.
+    NotRun,
+    /// It failed and may have run.
+    Failed,
+}
+
+/// Why a part is missing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Lack {
+    /// No server could be asked.
+    NoServer,
+    /// No server had room in time.
+    NoRoom,
+    /// All attempts failed.
+    Failed,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Wait for an attempt to end, or until this time.
+    Wait(Instant),
+    /// Answer with the parts that are there.
+    Answer,
+    /// Tell that the request has not run.
+    Refuse(Lack),
+    /// Tell that the request failed.
+    Fail(Lack),
+    /// Tell that the time is over.
+    TimeOut,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
+    Done,
+    Missing(Lack),
+}
+
+#[derive(Debug)]
+struct Part {
+    state: State,
+    asked: Vec<ServerIndex>,
+    live: u32,
+    /// Attempts that ended and may have run.
+    ran: u32,
+    check_at: Instant,
+}
+
+/// State of one forwarded request.
+#[derive(Debug)]
+pub struct Fanout {
+    limits: Limits,
+    parts: Vec<Part>,
+    started: Instant,
+    answer_by: Instant,
+    end: Instant,
+    done: usize,
+    missing: usize,
+    lack: Lack,
+}
+
+impl Fanout {
+    /// Begins a request.
+    #[must_use]
+    pub fn new(limits: Limits, now: Instant) -> Self {
+        let part = || Part {
+            state: State::Open,
+            asked: Vec::new(),
+            live: 0,
+            ran: 0,
+            check_at: now,
+        };
+        let margin = END_MARGIN.min(limits.time_limit / 4);
+        Self {
+            parts: std::iter::repeat_with(part).take(limits.parts).collect(),
+            started: now,
+            answer_by: now + limits.objective.saturating_sub(RETURN_MARGIN.min(limits.objective / 4)),
+            end: now + limits.time_limit.saturating_sub(margin),
+            done: 0,
+            missing: 0,
+            lack: Lack::NoServer,
+            limits,
+        }
+    }
+
+    /// Returns the time at which the request ends in any case.
+    #[must_use]
+    pub const fn end(&self) -> Instant {
+        self.end
+    }
+
+    /// Returns the number of parts that are missing now.
+    #[must_use]
+    pub const fn missing(&self) -> usize {
+        self.parts.len() - self.done
+    }
+
+    /// Returns the number of attempts decided so far.
+    #[must_use]
+    pub fn sent(&self) -> usize {
+        self.parts.iter().map(|part| part.asked.len()).sum()
+    }
+
+    /// Returns the attempts to send now. `choose` picks a server for a part that none of the servers in its last
+    /// argument has been asked for, and pays for it.
+    pub fn advance(
+        &mut self,
+        now: Instant,
+        mut choose: impl FnMut(usize, Cause, &[ServerIndex]) -> Choice,
+    ) -> Vec<Send> {
+        let mut sends = Vec::new();
+        let wait = self.limits.objective.mul_f64(WAIT_SHARE);
+        for ix in 0..self.parts.len() {
+            let part = &self.parts[ix];
+            if part.state != State::Open || now < part.check_at {
+                continue;
+            }
+            let Some(cause) = self.wanted(part) else {
+                if part.live == 0 {
+                    self.give_up(ix, Lack::Failed);
+                } else {
+                    self.parts[ix].check_at = self.end;
+                }
+                continue;
+            };
+            let choice = choose(ix, cause, &part.asked);
+            let part = &mut self.parts[ix];
+            match choice {
+                Choice::Send(server, check) => {
+                    part.asked.push(server);
+                    part.live += 1;
+                    part.check_at = now + check;
+                    sends.push(Send {
+                        part: ix,
+                        server,
+                        cause,
+                    });
+                }
+                Choice::Later if part.live > 0 => part.check_at = now + RECHECK,
+                Choice::Later if now >= self.started + wait => self.give_up(ix, Lack::NoRoom),
+                Choice::Later => part.check_at = now + RECHECK,
+                Choice::Nobody if part.live > 0 => part.check_at = now + RECHECK * 2,
+                Choice::Nobody => {
+                    let lack = if part.asked.is_empty() {
+                        Lack::NoServer
+                    } else {
+                        Lack::Failed
+                    };
+                    self.give_up(ix, lack);
+                }
+            }
+        }
+        sends
+    }
+
+    /// Takes the end of an attempt. Tells whether its answer is the one of the part.
+    pub fn on_end(&mut self, part: usize, ending: Ending, now: Instant) -> bool {
+        let state = &mut self.parts[part];
+        state.live -= 1;
+        if state.state != State::Open {
+            return false;
+        }
+        match ending {
+            Ending::Answered => {
+                state.state = State::Done;
+                self.done += 1;
+                return true;
+            }
+            Ending::NotRun => {}
+            Ending::Failed => state.ran += 1,
+        }
+        if state.live == 0 {
+            state.check_at = now;
+        }
+        false
+    }
+
+    /// Returns what to do next. Call [`Fanout::advance`] first.
+    #[must_use]
+    pub fn verdict(&self, now: Instant) -> Verdict {
+        let open = self.parts.len() - self.done - self.missing;
+        let enough = self.done >= self.limits.least;
+        if open == 0 && enough {
+            return Verdict::Answer;
+        }
+        if self.parts.len() - self.missing < self.limits.least {
+            let ran = self.parts.iter().any(|part| part.live > 0 || part.ran > 0) || self.done > 0;
+            return if ran {
+                Verdict::Fail(self.lack)
+            } else {
+                Verdict::Refuse(self.lack)
+            };
+        }
+        if enough && now >= self.answer_by {
+            return Verdict::Answer;
+        }
+        if now >= self.end {
+            return Verdict::TimeOut;
+        }
+        let next = if enough { self.answer_by } else { self.end };
+        let waiting = self.parts.iter().filter(|part| part.state == State::Open);
+        let check = waiting.map(|part| part.check_at).min().unwrap_or(next);
+        Verdict::Wait(check.min(next))
+    }
+
+    /// Returns why another attempt of a part is wanted, or `None` when none may be made.
+    fn wanted(&self, part: &Part) -> Option<Cause> {
+        let used = part.ran + part.live;
+        let allowed = if self.limits.repeatable {
+            self.limits.attempts.max(1)
+        } else {
+            1
+        };
+        if used >= allowed || part.asked.len() >= MAX_SENDS {
+            return None;
+        }
+        Some(match (part.asked.is_empty(), part.live) {
+            (true, _) => Cause::First,
+            (false, 0) => Cause::Retry,
+            (false, _) => Cause::Hedge,
+        })
+    }
+
+    fn give_up(&mut self, part: usize, lack: Lack) {
+        self.parts[part].state = State::Missing(lack);
+        self.missing += 1;
+        self.lack = lack;
+    }
+}
--- /dev/null
+++ b/src/request/records.rs
@@ -0,0 +1,29 @@
+//! Selection of the greatest fixed-size records of all parts.
+
+use std::cmp::Reverse;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Size of a record, in bytes.
+pub const RECORD_BYTES: usize = 16;
+
+/// Returns the greatest `best` records of all parts, greatest first, compared byte by byte. Equal records all count, and
+/// a rest of a part that is shorter than a record is none.
+#[must_use]
+pub fn greatest(parts: &[Bytes], best: usize) -> Bytes {
+    let mut records: Vec<&[u8]> = parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES)).collect();
+    if best == 0 {
+        return Bytes::new();
+    }
+    if records.len() > best {
+        records.select_nth_unstable_by_key(best - 1, |record| Reverse(*record));
+        records.truncate(best);
+    }
+    records.sort_unstable_by_key(|record| Reverse(*record));
+    let mut body = BytesMut::with_capacity(records.len() * RECORD_BYTES);
+    for record in records {
+        body.extend_from_slice(record);
+    }
+    body.freeze()
+}
--- a/src/version.rs
+++ b/src/version.rs
@@ -7,6 +7,7 @@
 pub mod document;
 pub mod finding;
 pub mod keys;
+pub mod routing;
 pub mod tables;
 pub mod units;
 pub mod validate;
