gateway: prefer the own data centre by a share of the objective; read changes of the store in batches

Cause: servers elsewhere were asked whenever they looked 40% of the usual latency better, which noise does; each event of the store was read by a call of its own.

--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -23,6 +23,10 @@
 /// below the time in which a change has to be in effect (3 s) together with the time that follows any loss (4 s).
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
+/// Pause between a change and the next read. Changes come in series, as when servers join or report that they are still
+/// cold, and each read is paid for. It lies well below the times in which a change has to be in effect (3 s).
+const CHANGE_PAUSE: Duration = Duration::from_millis(700);
+
 /// First pause after a failed read. It doubles with each further failure.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 
@@ -117,7 +121,9 @@
                 }
                 failures = 0;
                 position = Some(items.position);
+                let pause = if items.items.is_empty() { Duration::ZERO } else { CHANGE_PAUSE };
                 gateway.on_platform_items(items.items, whole);
+                tokio::time::sleep(pause).await;
             }
             Err(ReadError::Forgotten) => {
                 info!(gateway.log, "platform_changes_forgotten"; "position" => position);
--- a/src/process/gateway/place.rs
+++ b/src/process/gateway/place.rs
@@ -12,9 +12,9 @@
 use crate::process::backends::Backend;
 use crate::request::fanout::ServerIndex;
 
-/// Time by which a server of another data centre must be better, as a share of the usual latency. Traffic between data
-/// centres is paid for.
-const REMOTE_SHARE: f64 = 0.4;
+/// Time by which a server of another data centre must be better, as a share of the objective. Traffic between data
+/// centres is paid for, and an answer within its objective is not worth more for being earlier.
+const REMOTE_SHARE: f64 = 0.3;
 
 /// Round trip to a server of another data centre.
 const REMOTE_WAY: Duration = Duration::from_millis(2);
@@ -40,6 +40,7 @@
     servers: &[Arc<Backend>],
     asked: &[ServerIndex],
     usual: Duration,
+    objective: Duration,
     now: Instant,
     rng: &mut impl Rng,
 ) -> Place {
@@ -62,7 +63,7 @@
         drop(standing);
         let mut cost = expected + usual.mul_f64(BLUR * rng.random::<f64>());
         if !server.is_local {
-            cost += REMOTE_WAY + usual.mul_f64(REMOTE_SHARE);
+            cost += REMOTE_WAY + objective.mul_f64(REMOTE_SHARE);
         }
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, ix, expected));
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -291,14 +291,15 @@
     fn advance(&mut self, now: Instant) -> Vec<Send> {
         let usual = self.usual();
         let hedge_after = self.summary.map_or(usual, |summary| summary.upper);
-        let answer_by = self.started + self.route.objective;
+        let objective = self.route.objective;
+        let answer_by = self.started + objective;
         let gateway = &self.gateway;
         let services = &self.services;
         let view = &self.effective.view;
         let mut rng = rand::rng();
         let sends = self.fanout.advance(now, |part, cause, asked| {
             let service = &services[part];
-            let (server, expected) = match place::best(view.servers(service), asked, usual, now, &mut rng) {
+            let (server, expected) = match place::best(view.servers(service), asked, usual, objective, now, &mut rng) {
                 Place::Server(server, expected) => (server, expected),
                 Place::Full => return Choice::Later,
                 Place::Nobody => return Choice::Nobody,
