gateway: instances know of each other and pass on what they read of the platform

Cause: the share of a server's connections and of the extra attempts needs the number of instances, which nobody lists; and an instance that is cut from the store knows nothing new.

--- a/src/process.rs
+++ b/src/process.rs
@@ -5,6 +5,7 @@
 pub mod backends;
 pub mod budget;
 pub mod catalogue;
+pub mod census;
 pub mod dissemination;
 pub mod document_files;
 pub mod drain;
--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Tells whether the platform cannot be read now.
+    #[must_use]
+    pub const fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
     /// Takes that a read of the platform failed.
     pub fn on_platform_lost(&mut self) {
         self.is_cut = true;
--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+use bytes::Bytes;
 use indexmap::IndexSet;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -57,15 +58,27 @@
     },
 }
 
-/// Items with the position from which changes have to be followed.
+/// One value of the platform as it was read, before it is decoded. Instances pass values on in this form.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Name under which the platform holds the value.
+    pub key: Box<str>,
+    /// The value, or `None` when it was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Values with the position from which changes have to be followed.
 #[derive(Debug)]
-pub struct Items {
-    /// The items.
-    pub items: Vec<Item>,
+pub struct Changes {
+    /// The values.
+    pub changes: Vec<Change>,
     /// Position after them.
     pub position: Position,
 }
 
+/// Decodes a value; `None` when it does not concern the product.
+pub type Decoder = fn(&Change) -> Option<Item>;
+
 /// Failure of a read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ReadError {
@@ -90,7 +103,7 @@
     /// # Errors
     ///
     /// Fails when the platform cannot be read.
-    fn read_all(&mut self) -> impl Future<Output = Result<Items, ReadError>> + Send;
+    fn read_all(&mut self) -> impl Future<Output = Result<Changes, ReadError>> + Send;
 
     /// Waits up to `wait` for changes after `position`.
     ///
@@ -101,33 +114,39 @@
         &mut self,
         position: Position,
         wait: Duration,
-    ) -> impl Future<Output = Result<Items, ReadError>> + Send;
+    ) -> impl Future<Output = Result<Changes, ReadError>> + Send;
 }
 
 /// Follows the platform until the process ends.
 pub async fn run(mut catalogue: impl Catalogue, gateway: std::sync::Arc<Gateway>, mut rng: SmallRng) {
-    let mut position: Option<Position> = None;
     let mut failures = 0_u32;
+    let mut is_forgotten = false;
     loop {
+        // Another instance may have told what happened while the platform could not be read here.
+        let position = gateway.position().filter(|_| !is_forgotten);
         let whole = position.is_none();
         let read = match position {
             None => catalogue.read_all().await,
             Some(position) => catalogue.read_changes(position, WATCH_WAIT).await,
         };
         match read {
-            Ok(items) => {
+            Ok(read) => {
                 if failures > 0 {
                     info!(gateway.log, "platform_regained"; "failures" => failures);
                 }
                 failures = 0;
-                position = Some(items.position);
-                let pause = if items.items.is_empty() { Duration::ZERO } else { CHANGE_PAUSE };
-                gateway.on_platform_items(items.items, whole);
+                is_forgotten = false;
+                let pause = if read.changes.is_empty() {
+                    Duration::ZERO
+                } else {
+                    CHANGE_PAUSE
+                };
+                gateway.on_platform_read(read.changes, read.position, whole);
                 tokio::time::sleep(pause).await;
             }
             Err(ReadError::Forgotten) => {
                 info!(gateway.log, "platform_changes_forgotten"; "position" => position);
-                position = None;
+                is_forgotten = true;
             }
             Err(error) => {
                 if failures == 0 {
@@ -142,7 +161,7 @@
     }
 }
 
-/// Returns the names among `known` that `items` do not hold.
+/// Returns the names among `known` that `items`, which are all there is, do not hold.
 #[must_use]
 pub fn missing<'a>(known: impl Iterator<Item = &'a SearcherId>, items: &[Item]) -> Vec<SearcherId> {
     let listed: IndexSet<&SearcherId> = items
--- /dev/null
+++ b/src/process/census.rs
@@ -0,0 +1,164 @@
+//! Which other instances are there: a gossip over short connections.
+//!
+//! Nobody lists the instances of this tier, and a few seeds are all that a new instance knows. Each instance exchanges
+//! what it knows with one other in every [`INTERVAL`]. The number of instances follows, and with it the share of the
+//! connections and extra attempts that this instance may use; and an instance that cannot read the platform gets from
+//! the others what they have read. A message holds at most [`MAX_MEMBERS`] members, so its size and the work of an
+//! instance do not grow with their number. See "Other instances" in `docs/design/platform.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::ids::InstanceId;
+use crate::wire::proto;
+
+/// Time between two exchanges.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time between two exchanges while no other instance is known, or the platform cannot be read.
+const EAGER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Exchanges after a start that go to the seeds in turn, so that instances that start together meet there.
+const SEED_ROUNDS: u32 = 6;
+
+/// Share of later exchanges that go to a seed. It joins groups that were apart.
+const SEED_SHARE: f64 = 0.2;
+
+/// Members in one message.
+const MAX_MEMBERS: usize = 64;
+
+/// Time after which an instance that nobody heard of counts as gone: a few rounds of the gossip among some thirty.
+const FORGET: Duration = Duration::from_secs(12);
+
+/// Further time for each known instance, since a message holds only [`MAX_MEMBERS`] of them: each record is renewed
+/// about every `known / 64` rounds of 2 s, and three such times allow for chance.
+const FORGET_EACH: Duration = Duration::from_millis(95);
+
+#[derive(Debug, Clone, Copy)]
+struct Member {
+    address: SocketAddr,
+    heard: Instant,
+}
+
+/// What is known of other instances.
+#[derive(Debug)]
+pub struct Census {
+    own: InstanceId,
+    address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    members: IndexMap<InstanceId, Member>,
+    rounds: u32,
+    /// Number of instances that is assumed until another one was heard of.
+    assumed: u32,
+}
+
+impl Census {
+    /// Makes a census that knows the instance itself and the addresses of the seeds.
+    #[must_use]
+    pub fn new(own: InstanceId, address: SocketAddr, seeds: Vec<SocketAddr>, assumed: u32) -> Self {
+        Self {
+            own,
+            address,
+            seeds: seeds.into_iter().filter(|seed| *seed != address).collect(),
+            members: IndexMap::new(),
+            rounds: 0,
+            assumed,
+        }
+    }
+
+    /// Returns the number of instances, this one included.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        match u32::try_from(self.members.len()) {
+            Ok(0) => self.assumed,
+            Ok(others) => others + 1,
+            Err(_) => u32::MAX,
+        }
+    }
+
+    /// Takes the members that another instance knows.
+    pub fn on_members(&mut self, members: &[proto::Member], now: Instant) {
+        for member in members {
+            let Ok(address) = member.address.parse() else { continue };
+            let age = Duration::from_micros(member.age_us);
+            let heard = now.checked_sub(age);
+            if *member.instance == *self.own || age >= self.lifetime() {
+                continue;
+            }
+            let Some(heard) = heard else { continue };
+            let known = self.members.entry(member.instance.as_str().into());
+            let known = known.or_insert(Member { address, heard });
+            if heard >= known.heard {
+                *known = Member { address, heard };
+            }
+        }
+    }
+
+    /// Forgets the instances that nobody heard of for long.
+    pub fn on_tick(&mut self, now: Instant) {
+        let lifetime = self.lifetime();
+        self.members
+            .retain(|_, member| now.saturating_duration_since(member.heard) < lifetime);
+    }
+
+    /// Returns the members for a message: the instance itself and those heard of most recently.
+    #[must_use]
+    pub fn members(&self, now: Instant) -> Vec<proto::Member> {
+        let mut known: Vec<(&InstanceId, &Member)> = self.members.iter().collect();
+        known.sort_by_key(|(_, member)| std::cmp::Reverse(member.heard));
+        let own = proto::Member {
+            instance: self.own.to_string(),
+            address: self.address.to_string(),
+            age_us: 0,
+        };
+        let others = known.into_iter().take(MAX_MEMBERS - 1).map(|(instance, member)| {
+            let age = now.saturating_duration_since(member.heard);
+            proto::Member {
+                instance: instance.to_string(),
+                address: member.address.to_string(),
+                age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            }
+        });
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Returns the instance for the next exchange.
+    pub fn partner(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
+        let round = self.rounds;
+        self.rounds = self.rounds.saturating_add(1);
+        let to_seed = round < SEED_ROUNDS || self.members.is_empty() || rng.random_bool(SEED_SHARE);
+        if to_seed && !self.seeds.is_empty() {
+            let turn = if round < SEED_ROUNDS {
+                round as usize
+            } else {
+                rng.random_range(0..self.seeds.len())
+            };
+            return Some(self.seeds[turn % self.seeds.len()]);
+        }
+        if self.members.is_empty() {
+            return None;
+        }
+        let chosen = rng.random_range(0..self.members.len());
+        self.members.get_index(chosen).map(|(_, member)| member.address)
+    }
+
+    /// Returns the time until the next exchange. `is_cut` tells that the platform cannot be read.
+    #[must_use]
+    pub fn interval(&self, is_cut: bool) -> Duration {
+        if is_cut || self.members.is_empty() || self.rounds < SEED_ROUNDS {
+            EAGER_INTERVAL
+        } else {
+            INTERVAL
+        }
+    }
+
+    fn lifetime(&self) -> Duration {
+        let known = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        FORGET + FORGET_EACH.saturating_mul(known)
+    }
+}
--- a/src/process/extra.rs
+++ b/src/process/extra.rs
@@ -19,12 +19,26 @@
 pub struct ExtraLimits {
     /// Extra attempts allowed for each request in the window.
     pub ratio: f64,
-    /// Extra attempts that this instance may make beyond the ratio in a window.
+    /// Extra attempts that may be made beyond the ratio in a window.
     pub allowance: f64,
     /// Length of the window.
     pub window: Duration,
 }
 
+/// Share of the allowance of one instance that it uses. The rest is for instances that the others do not know of yet.
+const ALLOWANCE_SHARE: f64 = 0.6;
+
+impl ExtraLimits {
+    /// Returns the limits of one of `instances` instances.
+    #[must_use]
+    pub fn share(self, instances: u32) -> Self {
+        Self {
+            allowance: self.allowance * ALLOWANCE_SHARE / f64::from(instances.max(1)),
+            ..self
+        }
+    }
+}
+
 /// Counts of one service.
 #[derive(Debug)]
 pub struct ExtraBudget {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod head;
 mod measures;
+mod neighbours;
 mod place;
 mod program;
 mod request;
@@ -21,6 +22,7 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use indexmap::IndexMap;
 use slog::Logger;
 use slog::info;
@@ -37,8 +39,13 @@
 use crate::process::backends::Effect;
 use crate::process::backends::View;
 use crate::process::catalogue;
+use crate::process::catalogue::Change;
+use crate::process::catalogue::Decoder;
 use crate::process::catalogue::Item;
+use crate::process::catalogue::Position;
+use crate::process::census::Census;
 use crate::process::extra::ExtraBudget;
+use crate::process::extra::ExtraLimits;
 use crate::process::gateway::measures::Measures;
 use crate::process::http::HttpLimits;
 use crate::process::pace::Pace;
@@ -60,6 +67,8 @@
 pub(crate) struct Effective {
     pub(crate) routing: Arc<Routing>,
     pub(crate) view: Arc<View>,
+    /// Bound on the extra attempts of this instance.
+    pub(crate) extra: ExtraLimits,
 }
 
 /// State shared by all requests of an instance.
@@ -73,6 +82,8 @@
     readiness: Readiness,
     effective: ArcSwapOption<Effective>,
     known: Mutex<Known>,
+    census: Mutex<Census>,
+    decoder: Decoder,
     paces: Mutex<IndexMap<Box<str>, Arc<Mutex<Pace>>>>,
     budgets: Mutex<IndexMap<ServiceId, ExtraBudget>>,
     in_flight: AtomicUsize,
@@ -82,6 +93,9 @@
 #[derive(Debug)]
 struct Known {
     directory: Directory,
+    /// Values as they were read, for instances that cannot read them.
+    values: IndexMap<Box<str>, Bytes>,
+    position: Option<Position>,
     routing: Option<Arc<Routing>>,
     is_listed: bool,
     is_stopping: bool,
@@ -93,16 +107,27 @@
     pub fn new(
         settings: GatewaySettings,
         names: HeaderNames,
+        decoder: Decoder,
         log: Logger,
     ) -> (Arc<Self>, prometheus_client::registry::Registry) {
         let (measures, registry) = Measures::new();
         let known = Known {
             directory: Directory::new(settings.data_centre.clone()),
+            values: IndexMap::new(),
+            position: None,
             routing: None,
             is_listed: false,
             is_stopping: false,
         };
+        let census = Census::new(
+            settings.instance.clone(),
+            settings.peers,
+            settings.seeds.clone(),
+            settings.assumed_instances,
+        );
         let gateway = Self {
+            census: Mutex::new(census),
+            decoder,
             log,
             names,
             settings,
@@ -144,30 +169,72 @@
         }
     }
 
-    /// Takes items read from the platform. `whole` tells that they are all there is.
-    pub fn on_platform_items(&self, items: Vec<Item>, whole: bool) {
+    /// Takes what was read from the platform up to `position`. `whole` tells that it is all there is.
+    pub fn on_platform_read(&self, changes: Vec<Change>, position: Position, whole: bool) {
         let now = Instant::now();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_read(now);
+        self.apply(&mut known, changes, position, whole, now);
+    }
+
+    /// Takes what another instance has read up to `position`, which is all there is. It counts while this instance cannot
+    /// read the platform itself.
+    pub(crate) fn on_relayed(&self, changes: Vec<Change>, position: Position) {
+        let now = Instant::now();
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_behind = known.position.is_none_or(|own| own < position);
+        if !is_behind || !(known.directory.is_cut() || known.position.is_none()) {
+            return;
+        }
+        info!(self.log, "platform_relayed"; "position" => position, "before" => known.position, "values" => changes.len());
+        self.apply(&mut known, changes, position, true, now);
+    }
+
+    fn apply(&self, known: &mut Known, changes: Vec<Change>, position: Position, whole: bool, now: Instant) {
         let mut changed = whole;
+        let items: Vec<Item> = changes.iter().filter_map(self.decoder).collect();
         if whole {
             known.is_listed = true;
+            known.values.clear();
             for id in catalogue::missing(known.directory.ids(), &items) {
                 let effect = known.directory.on_missing(&id, now);
                 changed |= self.note(&id, effect);
             }
         }
+        for change in changes {
+            match change.value {
+                Some(value) => {
+                    known.values.insert(change.key, value);
+                }
+                None => {
+                    known.values.swap_remove(&change.key);
+                }
+            }
+        }
+        known.position = known.position.max(Some(position));
         for item in items {
-            changed |= self.on_item(&mut known, item, now);
+            changed |= self.on_item(known, item, now);
         }
         for id in known.directory.on_tick(now) {
             changed |= self.note(&id, Effect::Gone);
         }
         if changed {
-            self.put_in_effect(&known);
+            self.put_in_effect(known);
         }
     }
 
+    /// Returns the position up to which the platform was read, by this instance or one that told it.
+    #[must_use]
+    pub fn position(&self) -> Option<Position> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).position
+    }
+
+    /// Tells whether this instance cannot read the platform now, or has not read it yet.
+    fn is_cut(&self) -> bool {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.directory.is_cut() || known.position.is_none()
+    }
+
     /// Takes that a read of the platform failed.
     pub fn on_platform_lost(&self) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
@@ -241,10 +308,13 @@
 
     fn put_in_effect(&self, known: &Known) {
         let Some(routing) = &known.routing else { return };
-        let view = known.directory.view(Some(routing), self.settings.sharers);
+        let instances = self.census.lock().unwrap_or_else(PoisonError::into_inner).count();
+        let view = known.directory.view(Some(routing), instances);
+        let extra = self.settings.extra.share(instances);
         self.effective.store(Some(Arc::new(Effective {
             routing: Arc::clone(routing),
             view: Arc::new(view),
+            extra,
         })));
         self.measures
             .revision
--- /dev/null
+++ b/src/process/gateway/neighbours.rs
@@ -0,0 +1,166 @@
+//! Exchanges rosters with other instances: asks one in every interval, and answers those that ask.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+use crate::process::catalogue::Change;
+use crate::process::gateway::Gateway;
+use crate::wire::codec::CodecError;
+use crate::wire::codec::FrameCodec;
+use crate::wire::proto;
+use crate::wire::proto::frame::Body;
+
+/// Time for one exchange. It is many round trips, and short enough that a silent partner costs one round.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Pause after a failed accept, so that a lack of file descriptors does not turn into a busy loop.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Failure of an exchange.
+#[derive(Debug, thiserror::Error)]
+enum ExchangeError {
+    #[error("cannot connect: {0}")]
+    Connect(#[from] io::Error),
+    #[error("{0}")]
+    Frame(#[from] CodecError),
+    #[error("the other side closed the connection")]
+    Closed,
+}
+
+impl Gateway {
+    /// Returns what this instance tells another one. `asker` is what that one told.
+    fn roster(&self, asker: Option<&proto::Roster>) -> proto::Roster {
+        let now = Instant::now();
+        let members = self.census.lock().unwrap_or_else(PoisonError::into_inner).members(now);
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let position = known.position.unwrap_or_default();
+        let is_wanted = asker.is_some_and(|asker| asker.cut && asker.position < position);
+        let values = known.values.iter().map(|(key, value)| proto::StoredValue {
+            key: key.to_string(),
+            value: value.clone(),
+        });
+        proto::Roster {
+            members,
+            position,
+            cut: known.directory.is_cut() || known.position.is_none(),
+            values: if is_wanted { values.collect() } else { Vec::new() },
+        }
+    }
+
+    /// Takes what another instance told.
+    fn on_roster(&self, roster: proto::Roster) {
+        let now = Instant::now();
+        let mut census = self.census.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = census.count();
+        census.on_members(&roster.members, now);
+        let count = census.count();
+        drop(census);
+        if count != before {
+            self.on_instances(before, count);
+        }
+        if roster.values.is_empty() {
+            return;
+        }
+        let changes = roster.values.into_iter().map(|stored| Change {
+            key: stored.key.into(),
+            value: Some(stored.value),
+        });
+        self.on_relayed(changes.collect(), roster.position);
+    }
+
+    /// Forgets instances that are gone, and returns the partner of the next exchange and the time until the one after.
+    fn next_exchange(&self, rng: &mut SmallRng) -> (Option<SocketAddr>, Duration) {
+        let is_cut = self.is_cut();
+        let mut census = self.census.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = census.count();
+        census.on_tick(Instant::now());
+        let count = census.count();
+        let next = (census.partner(rng), census.interval(is_cut));
+        drop(census);
+        if count != before {
+            self.on_instances(before, count);
+        }
+        next
+    }
+
+    fn on_instances(&self, before: u32, count: u32) {
+        info!(self.log, "instances"; "before" => before, "count" => count);
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        self.put_in_effect(&known);
+    }
+}
+
+/// Asks other instances until the process ends.
+pub(super) async fn ask(gateway: Arc<Gateway>, mut rng: SmallRng) {
+    loop {
+        let (partner, interval) = gateway.next_exchange(&mut rng);
+        if let Some(partner) = partner {
+            let exchange = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange(&gateway, partner)).await;
+            let error = match exchange {
+                Ok(Ok(())) => None,
+                Ok(Err(error)) => Some(error.to_string()),
+                Err(_elapsed) => Some("no answer in time".into()),
+            };
+            if let Some(error) = error {
+                info!(gateway.log, "exchange_failed"; "partner" => %partner, "error" => error);
+            }
+        }
+        tokio::time::sleep(interval.mul_f64(rng.random_range(0.8..1.2))).await;
+    }
+}
+
+async fn exchange(gateway: &Gateway, partner: SocketAddr) -> Result<(), ExchangeError> {
+    let stream = TcpStream::connect(partner).await?;
+    let mut framed = Framed::new(stream, FrameCodec::new());
+    framed.send(Body::Roster(gateway.roster(None))).await?;
+    match framed.next().await {
+        Some(Ok(Body::Roster(roster))) => gateway.on_roster(roster),
+        Some(Err(error)) => return Err(error.into()),
+        Some(Ok(_)) | None => return Err(ExchangeError::Closed),
+    }
+    Ok(())
+}
+
+/// Answers other instances until the process ends.
+pub(super) async fn answer(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Arc::clone(&gateway);
+                tokio::spawn(async move {
+                    // The side that asked logs a failure.
+                    let _logged_there = tokio::time::timeout(EXCHANGE_TIMEOUT, reply(&gateway, stream)).await;
+                });
+            }
+            Err(error) => {
+                warn!(gateway.log, "accept_failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn reply(gateway: &Gateway, stream: TcpStream) -> Result<(), ExchangeError> {
+    let mut framed = Framed::new(stream, FrameCodec::new());
+    let Some(Body::Roster(asked)) = framed.next().await.transpose()? else {
+        return Err(ExchangeError::Closed);
+    };
+    let roster = gateway.roster(Some(&asked));
+    gateway.on_roster(asked);
+    framed.send(Body::Roster(roster)).await?;
+    Ok(())
+}
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 use slog::Logger;
 use slog::info;
+use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
@@ -21,11 +22,13 @@
 use crate::process::admin;
 use crate::process::catalogue;
 use crate::process::catalogue::Catalogue;
+use crate::process::catalogue::Decoder;
 use crate::process::drain;
 use crate::process::drain::Outcome;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::GatewaySettings;
 use crate::process::gateway::HeaderNames;
+use crate::process::gateway::neighbours;
 use crate::process::http::Handler;
 use crate::process::http::HttpLimits;
 use crate::process::http::HttpServer;
@@ -84,6 +87,7 @@
 pub async fn run(
     settings: GatewaySettings,
     names: HeaderNames,
+    decoder: Decoder,
     catalogue: impl Catalogue + 'static,
     seed: u64,
     log: Logger,
@@ -91,8 +95,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let rng = SmallRng::seed_from_u64(seed);
-    let (gateway, registry) = Gateway::new(settings, names, log.clone());
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (gateway, registry) = Gateway::new(settings, names, decoder, log.clone());
     let settings = gateway.settings.clone();
     let mut tasks = JoinSet::new();
     let (phase, _) = watch::channel(ServePhase::Serving);
@@ -102,6 +106,14 @@
     serve_admin(&gateway, registry, &mut tasks).await?;
     info!(log, "started"; "callers" => %settings.callers, "readiness" => %settings.readiness,
         "metrics" => %settings.metrics, "data_centre" => &*settings.data_centre);
+    let peers = TcpListener::bind(settings.peers)
+        .await
+        .map_err(|source| StartError::Bind {
+            address: settings.peers,
+            source,
+        })?;
+    tasks.spawn(neighbours::answer(Arc::clone(&gateway), peers));
+    tasks.spawn(neighbours::ask(Arc::clone(&gateway), SmallRng::from_rng(&mut rng)));
     tasks.spawn(catalogue::run(catalogue, Arc::clone(&gateway), rng));
     tasks.spawn(judge(Arc::clone(&gateway)));
     loop {
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -225,7 +225,7 @@
             Target::One(_) | Target::Split(_) => 1,
         };
         for service in &services {
-            let limits = &gateway.settings.extra;
+            let limits = &effective.extra;
             gateway.with_budget(service, started, |budget| budget.on_request(limits, started));
         }
         let limits = Limits {
@@ -296,6 +296,7 @@
         let gateway = &self.gateway;
         let services = &self.services;
         let view = &self.effective.view;
+        let limits = &self.effective.extra;
         let mut rng = rand::rng();
         let sends = self.fanout.advance(now, |part, cause, asked| {
             let service = &services[part];
@@ -309,7 +310,6 @@
                 if cause == Cause::Hedge && comes_late {
                     return Choice::Later;
                 }
-                let limits = &gateway.settings.extra;
                 if !gateway.with_budget(service, now, |budget| budget.take(limits, now)) {
                     gateway.measures.denied.inc();
                     return if cause == Cause::Hedge {
@@ -338,7 +338,7 @@
 
     /// Gives back what attempts that are not carried out took.
     fn withdraw(&self, sends: &[Send], now: Instant) {
-        let limits = &self.gateway.settings.extra;
+        let limits = &self.effective.extra;
         for send in sends.iter().filter(|send| send.cause != Cause::First) {
             let service = &self.services[send.part];
             self.gateway
@@ -362,6 +362,7 @@
         let id = self.id.clone();
         let deadline = self.fanout.end();
         let service = self.services[send.part].clone();
+        let limits = self.effective.extra;
         let is_route_shards = matches!(self.route.target, Target::Shards(_));
         async move {
             let gateway = Arc::clone(&flight.gateway);
@@ -390,9 +391,8 @@
                 Cause::Retry => "retry",
             };
             if ended.is_unsent && send.cause != Cause::First {
-                let limits = &gateway.settings.extra;
                 let now = Instant::now();
-                gateway.with_budget(&service, now, |budget| budget.put_back(limits, now));
+                gateway.with_budget(&service, now, |budget| budget.put_back(&limits, now));
             }
             gateway
                 .measures
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -22,9 +22,13 @@
     pub ready_path: Box<str>,
     /// Address of metrics.
     pub metrics: SocketAddr,
-    /// Number of instances that are taken to share the connections of a backend server.
-    pub sharers: u32,
-    /// Bound on extra attempts of this instance.
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// Addresses of other instances to begin with; they may be wrong or down.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of instances that is assumed until another one was heard of.
+    pub assumed_instances: u32,
+    /// Bound on extra attempts of all instances.
     pub extra: ExtraLimits,
     /// Time between the signal to stop and the end of the process by force.
     pub grace: Duration,
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -45,6 +45,8 @@
         Pong(super::Pong),
         #[prost(message, tag = "17")]
         GoAwayReply(super::GoAwayReply),
+        #[prost(message, tag = "18")]
+        Roster(super::Roster),
     }
 }
 /// First frame in each direction of a session.
@@ -416,6 +418,39 @@
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
 }
+/// Instances that the sender knows, and how far it has read the platform. Gateways exchange it over short connections.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Roster {
+    #[prost(message, repeated, tag = "1")]
+    pub members: ::prost::alloc::vec::Vec<Member>,
+    /// Position in the changes of the platform up to which the sender has read; 0 when it has read nothing.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    /// True when the sender cannot read the platform and wants what the receiver knows of it.
+    #[prost(bool, tag = "3")]
+    pub cut: bool,
+    /// All that the sender knows of the platform, for a receiver that is cut and behind.
+    #[prost(message, repeated, tag = "4")]
+    pub values: ::prost::alloc::vec::Vec<StoredValue>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Address of its interface for peers.
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    /// Time since the instance itself was last heard of by anyone.
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoredValue {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: ::prost::bytes::Bytes,
+}
 /// Scheduling class of a request. Urgent work goes before routine work in every queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
