--- a/src/process/backends/standing.rs
+++ b/src/process/backends/standing.rs
@@ -216,6 +216,18 @@
         expected
     }
 
+    /// Returns the number of requests that one of `instances` instances may have in flight here, so that with all of them
+    /// a request of the usual latency `usual` is still answered within `objective`; at least one.
+    #[must_use]
+    pub fn flight_limit(&self, usual: Duration, objective: Duration, instances: u32, now: Instant) -> usize {
+        let each = usual.as_secs_f64() * self.slowness(now).max(1.0);
+        if each <= 0.0 {
+            return usize::MAX;
+        }
+        let all = f64::from(self.slots) * objective.as_secs_f64() / each;
+        ((all / f64::from(instances.max(1))).round() as usize).max(1)
+    }
+
     /// Tells whether a request in flight takes so much longer than expected that the server must be held up.
     #[must_use]
     pub fn is_stalled(&self, now: Instant) -> bool {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -69,6 +69,8 @@
     pub(crate) view: Arc<View>,
     /// Bound on the extra attempts of this instance.
     pub(crate) extra: ExtraLimits,
+    /// Number of instances, this one included.
+    pub(crate) instances: u32,
 }
 
 /// State shared by all requests of an instance.
@@ -315,6 +317,7 @@
             routing: Arc::clone(routing),
             view: Arc::new(view),
             extra,
+            instances,
         })));
         self.measures
             .revision
--- a/src/process/gateway/place.rs
+++ b/src/process/gateway/place.rs
@@ -41,6 +41,7 @@
     asked: &[ServerIndex],
     usual: Duration,
     objective: Duration,
+    instances: u32,
     now: Instant,
     rng: &mut impl Rng,
 ) -> Place {
@@ -55,7 +56,8 @@
         if standing.is_avoided(now) || (standing.is_doubtful() && standing.in_flight() > 0) {
             continue;
         }
-        if !server.pool.has_room() {
+        let limit = standing.flight_limit(usual, objective, instances, now);
+        if standing.in_flight() >= limit || !server.pool.has_room() {
             full = true;
             continue;
         }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -297,10 +297,11 @@
         let services = &self.services;
         let view = &self.effective.view;
         let limits = &self.effective.extra;
+        let instances = self.effective.instances;
         let mut rng = rand::rng();
         let sends = self.fanout.advance(now, |part, cause, asked| {
             let service = &services[part];
-            let (server, expected) = match place::best(view.servers(service), asked, usual, objective, now, &mut rng) {
+            let (server, expected) = match place::best(view.servers(service), asked, usual, objective, instances, now, &mut rng) {
                 Place::Server(server, expected) => (server, expected),
                 Place::Full => return Choice::Later,
                 Place::Nobody => return Choice::Nobody,
