--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -201,7 +201,7 @@
         mut choose: impl FnMut(usize, Cause, &[ServerIndex]) -> Choice,
     ) -> Vec<Send> {
         let mut sends = Vec::new();
-        let wait = self.limits.objective.mul_f64(WAIT_SHARE);
+        let is_new = self.sent() == 0;
         for ix in 0..self.parts.len() {
             let part = &self.parts[ix];
             if part.state != State::Open || now < part.check_at {
@@ -215,36 +215,61 @@
                 }
                 continue;
             };
-            let choice = choose(ix, cause, &part.asked);
-            let part = &mut self.parts[ix];
-            match choice {
+            match choose(ix, cause, &part.asked) {
                 Choice::Send(server, check) => {
+                    let part = &mut self.parts[ix];
                     part.asked.push(server);
                     part.live += 1;
                     part.check_at = now + check;
-                    sends.push(Send {
-                        part: ix,
-                        server,
-                        cause,
-                    });
-                }
-                Choice::Later if part.live > 0 => part.check_at = now + RECHECK,
-                Choice::Later if now >= self.started + wait => self.give_up(ix, Lack::NoRoom),
-                Choice::Later => part.check_at = now + RECHECK,
-                Choice::Nobody if part.live > 0 => part.check_at = now + RECHECK * 2,
-                Choice::Nobody => {
-                    let lack = if part.asked.is_empty() {
-                        Lack::NoServer
-                    } else {
-                        Lack::Failed
-                    };
-                    self.give_up(ix, lack);
+                    sends.push(Send { part: ix, server, cause });
                 }
+                Choice::Later => self.wait_for_room(ix, now),
+                Choice::Nobody => self.on_nobody(ix, now),
             }
         }
+        if is_new && sends.len() < self.limits.least && !self.is_room_over(now) {
+            self.hold(&sends, now);
+            sends.clear();
+        }
         sends
     }
 
+    /// Keeps a part back until a server has room.
+    fn wait_for_room(&mut self, ix: usize, now: Instant) {
+        if self.parts[ix].live == 0 && self.is_room_over(now) {
+            self.give_up(ix, Lack::NoRoom);
+        } else {
+            self.parts[ix].check_at = now + RECHECK;
+        }
+    }
+
+    /// Handles a part that no server is left for.
+    fn on_nobody(&mut self, ix: usize, now: Instant) {
+        let part = &mut self.parts[ix];
+        if part.live > 0 {
+            part.check_at = now + RECHECK * 2;
+        } else {
+            let lack = if part.asked.is_empty() { Lack::NoServer } else { Lack::Failed };
+            self.give_up(ix, lack);
+        }
+    }
+
+    /// Takes back the first sends of a request of which too many parts find no room: an answer could not be made of the
+    /// rest, so its work would be wasted while servers are short of room.
+    fn hold(&mut self, sends: &[Send], now: Instant) {
+        for send in sends {
+            let part = &mut self.parts[send.part];
+            part.asked.clear();
+            part.live = 0;
+            part.check_at = now + RECHECK;
+        }
+    }
+
+    /// Tells whether the time is over in which parts may wait for room.
+    fn is_room_over(&self, now: Instant) -> bool {
+        now >= self.started + self.limits.objective.mul_f64(WAIT_SHARE)
+    }
+
     /// Takes the end of an attempt. Tells whether its answer is the one of the part.
     pub fn on_end(&mut self, part: usize, ending: Ending, now: Instant) -> bool {
         let state = &mut self.parts[part];
