--- a/crates/local-deployment/tests/testsuite/interface.rs
+++ b/crates/local-deployment/tests/testsuite/interface.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use pimentoflow::process::entry::api::ErrorBody;
 use pimentoflow::process::entry::api::MAX_SERVICES;
 use pimentoflow::process::entry::api::SearchAnswer;
+use pimentoflow::process::http::Handler;
 use pimentoflow::process::http::HttpLimits;
 use pimentoflow::process::http::HttpServer;
 use pimentoflow::process::http::ServePhase;
--- a/crates/style-check/src/main.rs
+++ b/crates/style-check/src/main.rs
@@ -10,7 +10,7 @@
 use eyre::Context;
 use eyre::Result;
 
-const ROOTS: [&str; 4] = ["src", "crates", "tests", "benches"];
+const ROOTS: [&str; 5] = ["src", "crates", "platform", "tests", "benches"];
 
 /// Group of an import, in the order in which the groups must appear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -44,6 +44,9 @@
 /// Time that an exchange is given beyond its deadline, in which the server reports the end of the deadline itself.
 const ANSWER_GRACE: Duration = Duration::from_millis(30);
 
+/// Sending side of a connection.
+type Sender = SendRequest<Full<Bytes>>;
+
 /// Answer of a backend server, read to its end.
 #[derive(Debug)]
 pub struct Answer {
@@ -100,7 +103,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     usable_until: Instant,
 }
 
@@ -204,7 +207,8 @@
         Ok(answer)
     }
 
-    fn claim(&self) -> Result<(Busy<'_>, Option<SendRequest<Full<Bytes>>>), ExchangeError> {
+    /// Takes a connection, or the right to open one.
+    fn claim(&self) -> Result<(Busy<'_>, Option<Sender>), ExchangeError> {
         let now = Instant::now();
         let mut connections = self.lock();
         if connections.busy >= connections.limit {
@@ -221,7 +225,7 @@
         Ok((Busy(self), sender))
     }
 
-    async fn open(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    async fn open(&self, deadline: Instant) -> Result<Sender, ExchangeError> {
         let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let connecting = tokio::time::timeout_at(limit.into(), TcpStream::connect(self.address)).await;
         let connected = connecting.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()));
@@ -231,7 +235,7 @@
         let handshake = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(broken)?;
+        let (sender, connection) = handshake.await.map_err(|error| broken(&error))?;
         tokio::spawn(async move {
             // The error reaches the sender of the request that was in flight.
             let _reported_elsewhere = connection.await;
@@ -239,7 +243,7 @@
         Ok(sender)
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>, headers: &HeaderMap) {
+    fn keep(&self, sender: Sender, headers: &HeaderMap) {
         if sender.is_closed() || closes(headers) {
             return;
         }
@@ -256,12 +260,8 @@
     }
 }
 
-async fn converse(
-    sender: &mut SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-    sent: Instant,
-) -> Result<Answer, ExchangeError> {
-    let response = sender.send_request(request).await.map_err(broken)?;
+async fn converse(sender: &mut Sender, request: Request<Full<Bytes>>, sent: Instant) -> Result<Answer, ExchangeError> {
+    let response = sender.send_request(request).await.map_err(|error| broken(&error))?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| ExchangeError::Broken(error.to_string().into()))?;
@@ -273,7 +273,7 @@
     })
 }
 
-fn broken(error: hyper::Error) -> ExchangeError {
+fn broken(error: &hyper::Error) -> ExchangeError {
     ExchangeError::Broken(error.to_string().into())
 }
 
--- a/src/process/gateway/place.rs
+++ b/src/process/backends/place.rs
@@ -25,7 +25,7 @@
 
 /// Standing of the best server for an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Place {
+pub enum Place {
     /// This server takes the attempt, and is expected to need this time.
     Server(ServerIndex, Duration),
     /// Servers are known, but none has a free connection.
@@ -36,7 +36,8 @@
 
 /// Returns the best of `servers` that is not in `asked`. Servers that failed lately are left alone, except that one is
 /// probed when its time is over.
-pub(crate) fn best(
+#[must_use]
+pub fn best(
     servers: &[Arc<Backend>],
     asked: &[ServerIndex],
     usual: Duration,
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -8,7 +8,6 @@
 mod head;
 mod measures;
 mod neighbours;
-mod place;
 mod program;
 mod request;
 mod settings;
@@ -29,7 +28,9 @@
 use slog::warn;
 
 pub use head::HeaderNames;
+pub use program::Running;
 pub use program::run;
+pub use program::start;
 pub(crate) use request::serve;
 pub use settings::GatewaySettings;
 
@@ -150,6 +151,12 @@
         self.readiness.clone()
     }
 
+    /// Returns the number of instances that are known, this one included.
+    #[must_use]
+    pub fn instances(&self) -> u32 {
+        self.census.lock().unwrap_or_else(PoisonError::into_inner).count()
+    }
+
     /// Returns the number of requests that are being served.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -310,7 +317,7 @@
 
     fn put_in_effect(&self, known: &Known) {
         let Some(routing) = &known.routing else { return };
-        let instances = self.census.lock().unwrap_or_else(PoisonError::into_inner).count();
+        let instances = self.instances();
         let view = known.directory.view(Some(routing), instances);
         let extra = self.settings.extra.share(instances);
         self.effective.store(Some(Arc::new(Effective {
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -48,11 +49,19 @@
 /// Interval at which entries that lapsed are judged.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// A gateway that runs.
-struct Running {
+/// A gateway that runs. Dropping it ends it at once, as when its process is killed.
+#[derive(Debug)]
+pub struct Running {
+    /// Address for callers, with the port that was bound.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks for readiness, with the port that was bound.
+    pub readiness: SocketAddr,
+    /// Address for other instances, with the port that was bound.
+    pub peers: SocketAddr,
     gateway: Arc<Gateway>,
     phase: watch::Sender<ServePhase>,
     open: Arc<AtomicUsize>,
+    tasks: JoinSet<()>,
 }
 
 impl Stoppable for Running {
@@ -92,30 +101,11 @@
     seed: u64,
     log: Logger,
 ) -> eyre::Result<Outcome> {
+    // The handlers are in place before the first request, so that no signal ends the process the hard way.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let (gateway, registry) = Gateway::new(settings, names, decoder, log.clone());
-    let settings = gateway.settings.clone();
-    let mut tasks = JoinSet::new();
-    let (phase, _) = watch::channel(ServePhase::Serving);
-    let callers = bind(settings.callers, Handler::Gateway(Arc::clone(&gateway)), &log).await?;
-    let open = callers.open_connections();
-    tasks.spawn(callers.serve(phase.subscribe()));
-    serve_admin(&gateway, registry, &mut tasks).await?;
-    info!(log, "started"; "callers" => %settings.callers, "readiness" => %settings.readiness,
-        "metrics" => %settings.metrics, "data_centre" => &*settings.data_centre);
-    let peers = TcpListener::bind(settings.peers)
-        .await
-        .map_err(|source| StartError::Bind {
-            address: settings.peers,
-            source,
-        })?;
-    tasks.spawn(neighbours::answer(Arc::clone(&gateway), peers));
-    tasks.spawn(neighbours::ask(Arc::clone(&gateway), SmallRng::from_rng(&mut rng)));
-    tasks.spawn(catalogue::run(catalogue, Arc::clone(&gateway), rng));
-    tasks.spawn(judge(Arc::clone(&gateway)));
+    let running = start(settings, names, decoder, catalogue, seed, log.clone()).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -124,33 +114,113 @@
             _ = reload.recv() => info!(log, "reload"; "changes" => 0),
         }
     }
-    let drain = drain::Settings {
-        notice: NOTICE.min(settings.grace / 2),
-        successor_wait: Duration::ZERO,
-        hard_limit: settings.grace.saturating_sub(GRACE_MARGIN),
+    Ok(running.stop().await)
+}
+
+/// Starts a gateway and returns when it listens on all its addresses.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start(
+    settings: GatewaySettings,
+    names: HeaderNames,
+    decoder: Decoder,
+    catalogue: impl Catalogue + 'static,
+    seed: u64,
+    log: Logger,
+) -> eyre::Result<Running> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let peers = bind_peers(settings.peers).await?;
+    let peers_address = peers.local_addr()?;
+    let settings = GatewaySettings {
+        peers: peers_address,
+        ..settings
     };
-    let mut running = Running { gateway, phase, open };
-    let (_no_peers, mut confirmations) = mpsc::unbounded_channel();
-    let timer = Timer::new(Clock::System);
-    let successors = IndexSet::new();
-    let outcome = stop::run(&mut running, drain, successors, &mut confirmations, &timer, &log).await;
-    info!(log, "stopped"; "outcome" => ?outcome);
-    Ok(outcome)
+    let (gateway, registry) = Gateway::new(settings, names, decoder, log.clone());
+    let settings = &gateway.settings;
+    let mut tasks = JoinSet::new();
+    let phase = watch::Sender::new(ServePhase::Serving);
+    let server = bind(settings.callers, Handler::Gateway(Arc::clone(&gateway)), &log).await?;
+    let callers = server.local_addr()?;
+    let open = server.open_connections();
+    tasks.spawn(server.serve(phase.subscribe()));
+    let readiness = serve_admin(&gateway, registry, &mut tasks).await?;
+    info!(log, "started"; "callers" => %callers, "readiness" => %readiness, "peers" => %peers_address,
+        "metrics" => %settings.metrics, "data_centre" => &*settings.data_centre);
+    tasks.spawn(neighbours::answer(Arc::clone(&gateway), peers));
+    tasks.spawn(neighbours::ask(Arc::clone(&gateway), SmallRng::from_rng(&mut rng)));
+    tasks.spawn(catalogue::run(catalogue, Arc::clone(&gateway), rng));
+    tasks.spawn(judge(Arc::clone(&gateway)));
+    Ok(Running {
+        callers,
+        readiness,
+        peers: peers_address,
+        gateway,
+        phase,
+        open,
+        tasks,
+    })
+}
+
+impl Running {
+    /// Returns the number of instances that this one knows, itself included.
+    #[must_use]
+    pub fn instances(&self) -> u32 {
+        self.gateway.instances()
+    }
+
+    /// Tells whether the platform cannot be read now.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.gateway.is_cut()
+    }
+
+    /// Runs a planned stop and returns how it ended.
+    pub async fn stop(mut self) -> Outcome {
+        let grace = self.gateway.settings.grace;
+        let log = self.gateway.log.clone();
+        let drain = drain::Settings {
+            notice: NOTICE.min(grace / 2),
+            successor_wait: Duration::ZERO,
+            hard_limit: grace.saturating_sub(GRACE_MARGIN),
+        };
+        let (_no_peers, mut confirmations) = mpsc::unbounded_channel();
+        let timer = Timer::new(Clock::System);
+        let outcome = stop::run(&mut self, drain, IndexSet::new(), &mut confirmations, &timer, &log).await;
+        self.tasks.shutdown().await;
+        info!(log, "stopped"; "outcome" => ?outcome);
+        outcome
+    }
+}
+
+async fn bind_peers(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Bind { address, source })
 }
 
-async fn serve_admin(gateway: &Arc<Gateway>, registry: Registry, tasks: &mut JoinSet<()>) -> eyre::Result<()> {
+/// Serves readiness and metrics, and returns the address of readiness.
+async fn serve_admin(gateway: &Arc<Gateway>, registry: Registry, tasks: &mut JoinSet<()>) -> eyre::Result<SocketAddr> {
     let settings = &gateway.settings;
     let routes = admin::routes(registry, gateway.readiness(), Some(&settings.ready_path));
     let handler = Handler::Routes(Arc::new(routes));
-    for address in [settings.readiness, settings.metrics] {
-        let server = bind(address, handler.clone(), &gateway.log).await?;
-        tasks.spawn(async move {
-            // The balancer and operators are answered until the process ends.
-            let (_serving, never_ends) = watch::channel(ServePhase::Serving);
-            server.serve(never_ends).await;
-        });
+    let readiness = bind(settings.readiness, handler.clone(), &gateway.log).await?;
+    let address = readiness.local_addr()?;
+    tasks.spawn(serve_to_the_end(readiness));
+    // An instance without metrics still serves.
+    match bind(settings.metrics, handler, &gateway.log).await {
+        Ok(metrics) => {
+            tasks.spawn(serve_to_the_end(metrics));
+        }
+        Err(error) => warn!(gateway.log, "metrics_unavailable"; "error" => %error),
     }
-    Ok(())
+    Ok(address)
+}
+
+/// Answers the balancer and operators until the process ends.
+async fn serve_to_the_end(server: HttpServer) {
+    let (_serving, never_ends) = watch::channel(ServePhase::Serving);
+    server.serve(never_ends).await;
 }
 
 async fn bind(address: SocketAddr, handler: Handler, log: &Logger) -> Result<HttpServer, StartError> {
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -25,6 +25,8 @@
 use crate::connection::upstream::ExchangeError;
 use crate::ids::ServiceId;
 use crate::process::backends::Backend;
+use crate::process::backends::place;
+use crate::process::backends::place::Place;
 use crate::process::backends::standing::FlightNumber;
 use crate::process::gateway::Effective;
 use crate::process::gateway::Gateway;
@@ -35,8 +37,6 @@
 use crate::process::gateway::head;
 use crate::process::gateway::head::Outgoing;
 use crate::process::gateway::measures::AttemptLabels;
-use crate::process::gateway::place;
-use crate::process::gateway::place::Place;
 use crate::process::pace::Pace;
 use crate::process::pace::Summary;
 use crate::request::fanout::Cause;
@@ -261,15 +261,7 @@
         let verdict = loop {
             let now = Instant::now();
             let sends = self.advance(now);
-            // A request that cannot be answered any more is refused before anything is sent.
             let verdict = self.fanout.verdict(now);
-            if let Verdict::Fail(lack) = verdict
-                && running.is_empty()
-                && self.has_sent_only(&sends)
-            {
-                self.withdraw(&sends, now);
-                break Verdict::Refuse(lack);
-            }
             for send in sends {
                 let attempt = self.attempt(send, now);
                 running.push(Box::pin(attempt));
@@ -301,11 +293,12 @@
         let mut rng = rand::rng();
         let sends = self.fanout.advance(now, |part, cause, asked| {
             let service = &services[part];
-            let (server, expected) = match place::best(view.servers(service), asked, usual, objective, instances, now, &mut rng) {
-                Place::Server(server, expected) => (server, expected),
-                Place::Full => return Choice::Later,
-                Place::Nobody => return Choice::Nobody,
-            };
+            let (server, expected) =
+                match place::best(view.servers(service), asked, usual, objective, instances, now, &mut rng) {
+                    Place::Server(server, expected) => (server, expected),
+                    Place::Full => return Choice::Later,
+                    Place::Nobody => return Choice::Nobody,
+                };
             if cause != Cause::First {
                 let comes_late = now < answer_by && now + expected > answer_by;
                 if cause == Cause::Hedge && comes_late {
@@ -332,21 +325,6 @@
         sends
     }
 
-    /// Tells whether `sends` are the first of the request.
-    fn has_sent_only(&self, sends: &[Send]) -> bool {
-        self.fanout.sent() == sends.len()
-    }
-
-    /// Gives back what attempts that are not carried out took.
-    fn withdraw(&self, sends: &[Send], now: Instant) {
-        let limits = &self.effective.extra;
-        for send in sends.iter().filter(|send| send.cause != Cause::First) {
-            let service = &self.services[send.part];
-            self.gateway
-                .with_budget(service, now, |budget| budget.put_back(limits, now));
-        }
-    }
-
     fn usual(&self) -> Duration {
         self.summary
             .map_or_else(|| self.route.objective.mul_f64(UNKNOWN_SHARE), |summary| summary.median)
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -187,12 +187,6 @@
         self.parts.len() - self.done
     }
 
-    /// Returns the number of attempts decided so far.
-    #[must_use]
-    pub fn sent(&self) -> usize {
-        self.parts.iter().map(|part| part.asked.len()).sum()
-    }
-
     /// Returns the attempts to send now. `choose` picks a server for a part that none of the servers in its last
     /// argument has been asked for, and pays for it.
     pub fn advance(
@@ -201,7 +195,7 @@
         mut choose: impl FnMut(usize, Cause, &[ServerIndex]) -> Choice,
     ) -> Vec<Send> {
         let mut sends = Vec::new();
-        let is_new = self.sent() == 0;
+        let is_new = self.parts.iter().all(|part| part.asked.is_empty());
         for ix in 0..self.parts.len() {
             let part = &self.parts[ix];
             if part.state != State::Open || now < part.check_at {
@@ -221,13 +215,18 @@
                     part.asked.push(server);
                     part.live += 1;
                     part.check_at = now + check;
-                    sends.push(Send { part: ix, server, cause });
+                    sends.push(Send {
+                        part: ix,
+                        server,
+                        cause,
+                    });
                 }
                 Choice::Later => self.wait_for_room(ix, now),
                 Choice::Nobody => self.on_nobody(ix, now),
             }
         }
-        if is_new && sends.len() < self.limits.least && !self.is_room_over(now) {
+        let waits = sends.len() < self.limits.least && !self.is_room_over(now);
+        if is_new && (waits || self.is_hopeless()) {
             self.hold(&sends, now);
             sends.clear();
         }
@@ -249,13 +248,17 @@
         if part.live > 0 {
             part.check_at = now + RECHECK * 2;
         } else {
-            let lack = if part.asked.is_empty() { Lack::NoServer } else { Lack::Failed };
+            let lack = if part.asked.is_empty() {
+                Lack::NoServer
+            } else {
+                Lack::Failed
+            };
             self.give_up(ix, lack);
         }
     }
 
-    /// Takes back the first sends of a request of which too many parts find no room: an answer could not be made of the
-    /// rest, so its work would be wasted while servers are short of room.
+    /// Takes back the first sends of a request of which too many parts find no server or no room: an answer could not be
+    /// made of the rest, so its work would be wasted while servers are short of room.
     fn hold(&mut self, sends: &[Send], now: Instant) {
         for send in sends {
             let part = &mut self.parts[send.part];
@@ -265,6 +268,11 @@
         }
     }
 
+    /// Tells whether too many parts are missing for an answer.
+    const fn is_hopeless(&self) -> bool {
+        self.parts.len() - self.missing < self.limits.least
+    }
+
     /// Tells whether the time is over in which parts may wait for room.
     fn is_room_over(&self, now: Instant) -> bool {
         now >= self.started + self.limits.objective.mul_f64(WAIT_SHARE)
@@ -300,7 +308,7 @@
         if open == 0 && enough {
             return Verdict::Answer;
         }
-        if self.parts.len() - self.missing < self.limits.least {
+        if self.is_hopeless() {
             let ran = self.parts.iter().any(|part| part.live > 0 || part.ran > 0) || self.done > 0;
             return if ran {
                 Verdict::Fail(self.lack)
--- /dev/null
+++ b/tests/testsuite/backends.rs
@@ -0,0 +1,224 @@
+//! Backend servers: which may be asked, and which is best.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use pimentoflow::process::backends::BackendEntry;
+use pimentoflow::process::backends::Directory;
+use pimentoflow::process::backends::Effect;
+use pimentoflow::process::backends::LAPSE_GRACE;
+use pimentoflow::process::backends::View;
+use pimentoflow::process::backends::place;
+use pimentoflow::process::backends::place::Place;
+use pimentoflow::process::backends::standing::LoadFigures;
+use pimentoflow::process::backends::standing::Standing;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const USUAL: Duration = Duration::from_millis(20);
+const OBJECTIVE: Duration = Duration::from_millis(150);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(id: &str, data_centre: &str) -> BackendEntry {
+    BackendEntry {
+        id: id.into(),
+        service: "shard".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: data_centre.into(),
+        slots: 3,
+        leaving: false,
+        warmup: Duration::ZERO,
+        born: 1,
+    }
+}
+
+fn ids(directory: &Directory) -> Vec<String> {
+    let view = directory.view(None, 1);
+    let servers = view.servers("shard").iter();
+    servers.map(|server| server.entry.id.to_string()).collect()
+}
+
+fn three(now: Instant) -> View {
+    let mut directory = Directory::new("here".into());
+    for (id, data_centre) in [("near", "here"), ("far-1", "there"), ("far-2", "elsewhere")] {
+        directory.on_entry(entry(id, data_centre), now);
+    }
+    directory.view(None, 1)
+}
+
+fn best(view: &View, asked: &[usize], now: Instant) -> Place {
+    let mut rng = SmallRng::seed_from_u64(1);
+    place::best(view.servers("shard"), asked, USUAL, OBJECTIVE, 1, now, &mut rng)
+}
+
+/// Guards against requests to a server that is leaving, and one that left.
+#[test]
+fn servers_that_leave_get_no_requests() {
+    let now = Instant::now();
+    let mut directory = Directory::new("here".into());
+    assert_eq!(directory.on_entry(entry("a", "here"), now), Effect::Joined);
+    assert_eq!(directory.on_entry(entry("b", "here"), now), Effect::Joined);
+    let leaving = BackendEntry {
+        leaving: true,
+        ..entry("a", "here")
+    };
+    assert_eq!(directory.on_entry(leaving, now), Effect::Leaving);
+    assert_eq!(ids(&directory), ["b"]);
+    assert_eq!(directory.on_missing("b", now), Effect::Gone);
+    assert!(ids(&directory).is_empty());
+}
+
+/// Guards against a mass removal of servers whose entries lapsed while the platform was away, and against servers that are
+/// kept for ever when they do not come back.
+#[test]
+fn entries_that_lapse_during_an_outage_get_time_to_come_back() {
+    let mut now = Instant::now();
+    let mut directory = Directory::new("here".into());
+    for id in ["a", "b"] {
+        directory.on_entry(entry(id, "here"), now);
+    }
+    directory.on_platform_lost();
+    now += Duration::from_secs(5);
+    directory.on_platform_read(now);
+    assert_eq!(directory.on_missing("a", now), Effect::Lapsed);
+    assert_eq!(directory.on_missing("b", now), Effect::Lapsed);
+    assert_eq!(ids(&directory), ["a", "b"]);
+    now += LAPSE_GRACE / 2;
+    assert_eq!(directory.on_entry(entry("a", "here"), now), Effect::Unchanged);
+    assert!(directory.on_tick(now).is_empty());
+    now += LAPSE_GRACE / 2;
+    assert_eq!(directory.on_tick(now), [Box::from("b")]);
+    assert_eq!(ids(&directory), ["a"]);
+    assert_eq!(directory.on_missing("a", now), Effect::Gone);
+}
+
+/// Guards against observations and connections of a former incarnation that are used for a new one with the same name.
+#[test]
+fn a_restart_under_the_same_name_is_a_new_server() {
+    let now = Instant::now();
+    let mut directory = Directory::new("here".into());
+    directory.on_entry(entry("a", "here"), now);
+    let before = directory.view(None, 1).servers("shard")[0].clone();
+    before.standing().on_failure(now);
+    let restarted = BackendEntry {
+        born: 2,
+        ..entry("a", "here")
+    };
+    assert_eq!(directory.on_entry(restarted, now), Effect::Restarted);
+    let view = directory.view(None, 1);
+    assert!(!view.servers("shard")[0].standing().is_avoided(now));
+}
+
+/// Guards against a value of another writer that keeps a server in use or removes another one.
+#[test]
+fn a_value_that_cannot_be_read_names_no_server() {
+    let now = Instant::now();
+    let mut directory = Directory::new("here".into());
+    directory.on_entry(entry("a", "here"), now);
+    directory.on_entry(entry("b", "here"), now);
+    assert_eq!(directory.on_unreadable("foreign"), Effect::Unchanged);
+    assert_eq!(directory.on_unreadable("a"), Effect::Gone);
+    assert_eq!(ids(&directory), ["b"]);
+}
+
+/// Guards against traffic between data centres that a small difference causes.
+#[test]
+fn the_own_data_centre_is_preferred_while_its_server_is_about_as_good() {
+    let now = Instant::now();
+    let view = three(now);
+    let near = &view.servers("shard")[0];
+    for _ in 0..2 {
+        near.standing().begin(USUAL, now);
+    }
+    assert!(matches!(best(&view, &[], now), Place::Server(0, _)));
+}
+
+/// Load pattern: a server pauses for 200 ms. Guards against requests that are sent to it while those in flight show the
+/// pause.
+#[test]
+fn a_paused_server_is_passed_over_before_it_answers() {
+    let start = Instant::now();
+    let view = three(start);
+    view.servers("shard")[0].standing().begin(USUAL, start);
+    let now = start + ms(60);
+    assert!(matches!(best(&view, &[], now), Place::Server(1 | 2, _)));
+}
+
+/// Load pattern: one server is ten times as slow. Guards against requests that go on being sent to it, and against one
+/// that is never asked again after it recovered.
+#[test]
+fn a_slow_server_is_passed_over_until_it_may_have_recovered() {
+    let now = Instant::now();
+    let view = three(now);
+    for _ in 0..10 {
+        view.servers("shard")[0].standing().on_answer(ms(200), Some(USUAL), now);
+    }
+    assert!(matches!(best(&view, &[], now), Place::Server(1 | 2, _)));
+    let later = now + Duration::from_secs(10);
+    assert!(matches!(best(&view, &[], later), Place::Server(0, _)));
+}
+
+/// Load pattern: a server crashed. Guards against requests to it while it is down, and against more than one probe at a
+/// time when its time is over.
+#[test]
+fn a_failed_server_is_avoided_and_then_probed_once() {
+    let now = Instant::now();
+    let view = three(now);
+    let near = &view.servers("shard")[0];
+    near.standing().on_failure(now);
+    assert!(!matches!(best(&view, &[1, 2], now), Place::Server(..)));
+    let later = now + ms(300);
+    assert!(matches!(best(&view, &[1, 2], later), Place::Server(0, _)));
+    near.standing().begin(USUAL, later);
+    assert_eq!(best(&view, &[1, 2], later), Place::Nobody);
+}
+
+/// Load pattern: a silent server. Guards against one that is asked again and again because requests that were given up
+/// leave no trace.
+#[test]
+fn a_long_wait_without_an_answer_counts_as_a_failure() {
+    let now = Instant::now();
+    let mut standing = Standing::new(3, Duration::ZERO, now);
+    standing.on_abandoned(ms(60), Some(USUAL), now);
+    assert!(!standing.is_avoided(now));
+    assert!(standing.expected(USUAL, now) > USUAL);
+    standing.on_abandoned(ms(400), Some(USUAL), now);
+    assert!(standing.is_avoided(now));
+}
+
+/// Load pattern: all servers of a shard are slow. Guards against queues of more than what a server answers within the
+/// objective, shared by all instances.
+#[test]
+fn requests_in_flight_are_bounded_by_what_is_answered_in_time() {
+    let now = Instant::now();
+    let mut standing = Standing::new(3, Duration::ZERO, now);
+    assert_eq!(standing.flight_limit(USUAL, OBJECTIVE, 4, now), 6);
+    for _ in 0..30 {
+        standing.on_answer(ms(180), Some(USUAL), now);
+    }
+    assert_eq!(standing.flight_limit(USUAL, OBJECTIVE, 4, now), 1);
+}
+
+/// Guards against load figures that are believed long after they came, and against own requests that are counted twice.
+#[test]
+fn load_figures_of_others_count_while_they_are_fresh() {
+    let now = Instant::now();
+    let mut standing = Standing::new(3, Duration::ZERO, now);
+    standing.begin(USUAL, now);
+    let idle = standing.expected(USUAL, now);
+    let load = LoadFigures {
+        running: 3,
+        waiting: 3,
+        slots: 3,
+    };
+    standing.on_load(load, now);
+    let busy = standing.expected(USUAL, now);
+    assert!(busy >= USUAL * 2, "{busy:?}");
+    assert_eq!(standing.expected(USUAL, now + ms(30)), busy);
+    assert!(standing.expected(USUAL, now + ms(200)) >= idle);
+    standing.end(1);
+    assert!(standing.expected(USUAL, now + ms(200)) <= USUAL);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the library, one module per topic.
 
 mod admission;
+mod backends;
+mod census;
 mod codec;
 mod commands;
 mod configuration_page;
@@ -12,6 +14,8 @@
 mod dissemination;
 mod document;
 mod drain;
+mod extra;
+mod fanout;
 mod fleet;
 mod harness;
 mod lane;
@@ -19,6 +23,9 @@
 mod membership;
 mod node;
 mod ownership;
+mod pace;
+mod records;
+mod routing;
 mod samples;
 mod search;
 mod search_property;
--- /dev/null
+++ b/tests/testsuite/routing.rs
@@ -0,0 +1,84 @@
+//! Routes of forwarded requests.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pimentoflow::version::routing::CallerLimits;
+use pimentoflow::version::routing::Route;
+use pimentoflow::version::routing::Routing;
+use pimentoflow::version::routing::ShardSet;
+use pimentoflow::version::routing::Split;
+use pimentoflow::version::routing::Target;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        prefix: prefix.into(),
+        repeatable: true,
+        attempts: 2,
+        time_limit: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        rank: 1,
+        target: Target::One("service".into()),
+    }
+}
+
+fn routing() -> Routing {
+    let routes = vec![
+        ("One.example".into(), route("short", "/a/")),
+        ("one.example".into(), route("long", "/a/b/")),
+        ("two.example".into(), route("root", "/")),
+    ];
+    Routing::new(3, CallerLimits::default(), IndexMap::new(), routes)
+}
+
+/// Guards against a request that a shorter prefix takes, one that a route of another host takes, and hosts that are told
+/// apart by case or port.
+#[test]
+fn the_longest_prefix_of_the_host_takes_the_request() {
+    let routing = routing();
+    let name = |host: &str, path: &str| routing.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("one.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("ONE.example:8080", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("one.example", "/a"), None);
+    assert_eq!(name("three.example", "/a/b/"), None);
+    assert_eq!(name("two.example", "/a/b/").as_deref(), Some("root"));
+}
+
+/// Guards against shares that miss their weights by more than a hundredth after 300 requests, and against requests to a
+/// service of weight 0.
+#[test]
+fn splits_meet_their_weights() {
+    let shares = vec![
+        ("a".into(), 70.0),
+        ("none".into(), 0.0),
+        ("b".into(), 25.0),
+        ("c".into(), 5.0),
+    ];
+    let split = Split::new(shares);
+    let mut counts: IndexMap<Box<str>, u32> = IndexMap::new();
+    for _ in 0..300 {
+        *counts.entry(split.deal().unwrap().clone()).or_default() += 1;
+    }
+    for (service, weight) in [("a", 0.70), ("b", 0.25), ("c", 0.05)] {
+        let share = f64::from(counts[service]) / 300.0;
+        assert!((share - weight).abs() < 0.01, "{service}: {share}");
+    }
+    assert!(!counts.contains_key("none"));
+}
+
+/// Guards against an answer below the least coverage because of rounding, and against one that asks for more shards than
+/// the share means.
+#[test]
+fn the_least_number_of_parts_covers_the_share() {
+    let least = |shards: usize, least: f64| {
+        let shards = (0..shards).map(|shard| shard.to_string().into()).collect();
+        ShardSet { shards, best: 5, least }.least_parts()
+    };
+    assert_eq!(least(10, 0.89), 9);
+    assert_eq!(least(8, 0.75), 6);
+    assert_eq!(least(36, 0.95), 35);
+    assert_eq!(least(54, 0.85), 46);
+    assert_eq!(least(10, 0.0), 1);
+    assert_eq!(least(10, 1.0), 10);
+}
