--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod head;
+pub mod lines;
 mod measures;
 mod neighbours;
 mod program;
@@ -47,6 +48,7 @@
 use crate::process::census::Census;
 use crate::process::extra::ExtraBudget;
 use crate::process::extra::ExtraLimits;
+use crate::process::gateway::lines::Lines;
 use crate::process::gateway::measures::Measures;
 use crate::process::http::HttpLimits;
 use crate::process::pace::Pace;
@@ -90,6 +92,9 @@
     paces: Mutex<IndexMap<Box<str>, Arc<Mutex<Pace>>>>,
     budgets: Mutex<IndexMap<ServiceId, ExtraBudget>>,
     in_flight: AtomicUsize,
+    lines: Lines,
+    /// Time of the last successful read of the platform.
+    read_at: Mutex<Option<Instant>>,
 }
 
 /// What is known from the platform.
@@ -141,6 +146,8 @@
             paces: Mutex::default(),
             budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
+            lines: Lines::new(Instant::now()),
+            read_at: Mutex::new(None),
         };
         (Arc::new(gateway), registry)
     }
@@ -183,6 +190,7 @@
         let now = Instant::now();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_read(now);
+        *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         self.apply(&mut known, changes, position, whole, now);
     }
 
@@ -238,6 +246,12 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner).position
     }
 
+    /// Returns the time since the last successful read of the platform, in milliseconds, for the log.
+    fn read_age_ms(&self) -> Option<u64> {
+        let read_at = *self.read_at.lock().unwrap_or_else(PoisonError::into_inner);
+        read_at.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Tells whether this instance cannot read the platform now, or has not read it yet.
     fn is_cut(&self) -> bool {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/src/process/gateway/lines.rs
@@ -0,0 +1,93 @@
+//! Bound on the log lines about requests.
+//!
+//! Load pattern: a burst of requests, or of failures, must not fill the log or the processor. Lines about requests that
+//! went well and lines about trouble have quotas of their own, so that a failed request keeps its lines. What is left out
+//! is counted and said in one line a second.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::Logger;
+use slog::warn;
+
+/// Lines a second about requests that went well: two for each request at about twice the usual 65 requests a second of
+/// an instance. Lines have 150 to 700 bytes, so both quotas together are at most about 250 KB a second.
+const USUAL_LINES: u32 = 250;
+
+/// Lines a second about requests in trouble.
+const TROUBLE_LINES: u32 = 250;
+
+/// Time for which a quota holds.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// What a line is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// A request that goes well so far.
+    Usual,
+    /// A request, or an attempt of one, that fails, is refused or is repeated.
+    Trouble,
+}
+
+#[derive(Debug)]
+struct Quotas {
+    since: Instant,
+    usual: u32,
+    trouble: u32,
+    left_out: u64,
+}
+
+/// Decides which lines are written.
+#[derive(Debug)]
+pub struct Lines {
+    quotas: Mutex<Quotas>,
+}
+
+impl Lines {
+    /// Begins with full quotas.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            quotas: Mutex::new(Quotas {
+                since: now,
+                usual: USUAL_LINES,
+                trouble: TROUBLE_LINES,
+                left_out: 0,
+            }),
+        }
+    }
+
+    /// Tells whether a line may be written, and how many were left out in the period that ended with this call.
+    pub fn take(&self, topic: Topic, now: Instant) -> (bool, u64) {
+        let mut quotas = self.quotas.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut left_out = 0;
+        if now.saturating_duration_since(quotas.since) >= PERIOD {
+            left_out = quotas.left_out;
+            *quotas = Quotas {
+                since: now,
+                usual: USUAL_LINES,
+                trouble: TROUBLE_LINES,
+                left_out: 0,
+            };
+        }
+        let left = match topic {
+            Topic::Usual => &mut quotas.usual,
+            Topic::Trouble => &mut quotas.trouble,
+        };
+        let allowed = *left > 0;
+        *left = left.saturating_sub(1);
+        quotas.left_out += u64::from(!allowed);
+        (allowed, left_out)
+    }
+
+    /// Tells whether a line may be written, and says in the log what was left out.
+    pub(crate) fn allow(&self, log: &Logger, topic: Topic) -> bool {
+        let (allowed, left_out) = self.take(topic, Instant::now());
+        if left_out > 0 {
+            warn!(log, "lines_left_out"; "count" => left_out);
+        }
+        allowed
+    }
+}
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -36,6 +36,7 @@
 use crate::process::gateway::answer::PartAnswer;
 use crate::process::gateway::head;
 use crate::process::gateway::head::Outgoing;
+use crate::process::gateway::lines::Topic;
 use crate::process::gateway::measures::AttemptLabels;
 use crate::process::pace::Pace;
 use crate::process::pace::Summary;
@@ -91,8 +92,12 @@
     let mut served = admit(&gateway, request, id.as_ref(), started).await;
     if let Err(refusal) = &mut served {
         gateway.measures.record("", refusal.outcome, started.elapsed());
-        info!(gateway.log, "request"; "id" => id.as_ref().and_then(|id| id.to_str().ok()), "outcome" => refusal.outcome,
-            "status" => refusal.answer.status().as_u16());
+        if gateway.lines.allow(&gateway.log, Topic::Trouble) {
+            info!(gateway.log, "request"; "id" => id.as_ref().and_then(|id| id.to_str().ok()),
+                "outcome" => refusal.outcome, "status" => refusal.answer.status().as_u16(),
+                "revision" => gateway.effective.load().as_ref().map(|now| now.routing.revision),
+                "read_age_ms" => gateway.read_age_ms());
+        }
     }
     let admitted = match served {
         Ok(admitted) => admitted,
@@ -262,6 +267,7 @@
             let now = Instant::now();
             let sends = self.advance(now);
             let verdict = self.fanout.verdict(now);
+            self.log_sends(&sends, now);
             for send in sends {
                 let attempt = self.attempt(send, now);
                 running.push(Box::pin(attempt));
@@ -325,6 +331,31 @@
         sends
     }
 
+    /// Logs where parts are sent, and why they are sent again.
+    fn log_sends(&self, sends: &[Send], now: Instant) {
+        let log = &self.gateway.log;
+        let is_first = |send: &&Send| send.cause == Cause::First;
+        let id = self.id.to_str().ok();
+        if sends.iter().any(|send| is_first(&send)) && self.gateway.lines.allow(log, Topic::Usual) {
+            let placed = sends.iter().filter(is_first).map(|send| {
+                let server = self.server(send.part, send.server);
+                format!("{}:{}", send.part, server.entry.id)
+            });
+            let placed: Vec<String> = placed.collect();
+            info!(log, "placed"; "id" => id, "route" => &*self.route.name,
+                "revision" => self.effective.routing.revision, "usual_ms" => self.usual().as_millis() as u64,
+                "servers" => placed.join(","));
+        }
+        for send in sends.iter().filter(|send| !is_first(send)) {
+            if self.gateway.lines.allow(log, Topic::Trouble) {
+                let server = self.server(send.part, send.server);
+                info!(log, "sent_again"; "id" => id, "part" => send.part, "cause" => ?send.cause,
+                    "server" => &*server.entry.id, "service" => &*self.services[send.part],
+                    "after_ms" => now.saturating_duration_since(self.started).as_millis() as u64);
+            }
+        }
+    }
+
     fn usual(&self) -> Duration {
         self.summary
             .map_or_else(|| self.route.objective.mul_f64(UNKNOWN_SHARE), |summary| summary.median)
@@ -378,7 +409,9 @@
                 .attempts
                 .get_or_create(&AttemptLabels { cause, ending })
                 .inc();
-            if let Some(reason) = &ended.reason {
+            if let Some(reason) = &ended.reason
+                && gateway.lines.allow(&gateway.log, Topic::Trouble)
+            {
                 info!(gateway.log, "attempt"; "id" => id.to_str().ok(), "server" => &*server.entry.id,
                     "service" => &*service, "cause" => cause, "ending" => ending, "reason" => &**reason);
             }
@@ -433,9 +466,14 @@
         let elapsed = self.started.elapsed();
         let service = self.services.first().map_or("", |service| service);
         self.gateway.measures.record(service, outcome, elapsed);
+        let topic = if outcome == "ok" { Topic::Usual } else { Topic::Trouble };
+        if !self.gateway.lines.allow(&self.gateway.log, topic) {
+            return answer;
+        }
         info!(self.gateway.log, "request"; "id" => self.id.to_str().ok(), "outcome" => outcome,
             "status" => answer.status().as_u16(), "route" => &*self.route.name,
-            "revision" => self.effective.routing.revision, "ms" => elapsed.as_millis() as u64,
+            "revision" => self.effective.routing.revision, "read_age_ms" => self.gateway.read_age_ms(),
+            "ms" => elapsed.as_millis() as u64, "lacks" => self.fanout.lacks(),
             "parts" => self.services.len(), "missing" => missing, "hedges" => self.hedges, "retries" => self.retries,
             "verdict" => ?verdict);
         answer
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -187,6 +187,20 @@
         self.parts.len() - self.done
     }
 
+    /// Returns the parts that are missing now with the reasons, for the log: `late` where an attempt is in flight.
+    #[must_use]
+    pub fn lacks(&self) -> String {
+        let parts = self.parts.iter().enumerate();
+        let lacks = parts.filter_map(|(ix, part)| match part.state {
+            State::Done => None,
+            State::Open => Some(format!("{ix}:late")),
+            State::Missing(Lack::NoServer) => Some(format!("{ix}:no_server")),
+            State::Missing(Lack::NoRoom) => Some(format!("{ix}:no_room")),
+            State::Missing(Lack::Failed) => Some(format!("{ix}:failed")),
+        });
+        lacks.collect::<Vec<String>>().join(",")
+    }
+
     /// Returns the attempts to send now. `choose` picks a server for a part that none of the servers in its last
     /// argument has been asked for, and pays for it.
     pub fn advance(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod extra;
 mod fanout;
 mod fleet;
+mod gateway_lines;
 mod harness;
 mod lane;
 mod lane_model;
