soak: gateway processes under faults from outside, with checks of what callers and servers see

Stand-ins move to a crate of their own. Settings are read again after SIGHUP and every 5 s; seeds and the bound on extra attempts take effect.

--- /dev/null
+++ b/crates/gateway-soak/src/fleet.rs
@@ -0,0 +1,278 @@
+//! Gateway processes, with the stand-ins and proxies around them.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::ensure;
+use platform_standin::Server;
+use platform_standin::Store;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::Child;
+use tokio::process::Command;
+
+use crate::Settings;
+use crate::proxy::Proxy;
+
+/// Shards in each of the two sets that versions of the configuration name by turns.
+pub const SHARDS: usize = 4;
+
+/// Replicas of each shard.
+const REPLICAS: usize = 3;
+
+/// Servers of the service that takes single requests.
+const SINGLES: usize = 4;
+
+/// Records in an answer over shards.
+pub const BEST: usize = 5;
+
+/// Parts that an answer over shards needs at least.
+pub const LEAST: usize = 3;
+
+/// Longest wait until all processes are ready. Only a failure reaches it.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// One gateway process.
+pub struct Process {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    /// Proxy between the process and the store.
+    pub store: Proxy,
+    pub child: Child,
+    pub is_paused: bool,
+    settings: PathBuf,
+}
+
+/// A backend server behind a proxy.
+pub struct Backend {
+    pub server: Server,
+    pub proxy: Proxy,
+    pub service: String,
+}
+
+/// All that runs.
+pub struct Fleet {
+    pub store: Store,
+    pub backends: Vec<Backend>,
+    pub processes: Vec<Process>,
+    pub version: u64,
+    program: PathBuf,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    pub async fn start(settings: &Settings) -> Result<Self> {
+        fs::create_dir_all(&settings.folder)?;
+        let store = Store::start().await;
+        let mut fleet = Self {
+            store,
+            backends: Vec::new(),
+            processes: Vec::new(),
+            version: 0,
+            program: settings.program.clone(),
+            folder: settings.folder.clone(),
+        };
+        for set in ["a", "b"] {
+            for shard in 0..SHARDS {
+                for replica in 0..REPLICAS {
+                    fleet
+                        .add_backend(&format!("{set}{shard}"), &format!("i-{set}{shard}r{replica}"))
+                        .await?;
+                }
+            }
+        }
+        for single in 0..SINGLES {
+            fleet.add_backend("one", &format!("i-one{single}")).await?;
+        }
+        fleet.next_version();
+        let ports: Vec<SocketAddr> = (0..settings.gateways).map(|_| free_address()).collect::<Result<_>>()?;
+        for number in 0..settings.gateways {
+            let seeds = ports.iter().copied().take(3).collect();
+            fleet.add_process(number, ports[number], seeds).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn add_backend(&mut self, service: &str, id: &str) -> Result<()> {
+        let records = (0..6_u32).flat_map(|number| record(id, number));
+        let server = Server::start(id, &records.collect::<Vec<u8>>()).await;
+        let proxy = Proxy::start(server.address).await?;
+        self.backends.push(Backend {
+            server,
+            proxy,
+            service: service.into(),
+        });
+        self.announce(self.backends.len() - 1, "ready");
+        Ok(())
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn announce(&self, ix: usize, state: &str) {
+        let backend = &self.backends[ix];
+        let entry = json!({
+            "Service": backend.service, "Address": backend.proxy.address.to_string(), "Zone": "here", "Version": "v1",
+            "Slots": 3, "State": state, "WarmupLeftMs": 0, "Seq": 1, "born": 1_700_000_000_000_u64,
+        });
+        self.store.put(&format!("servers/{}", backend.server.id), &entry);
+    }
+
+    /// Writes the next version, which names the other set of shards.
+    pub fn next_version(&mut self) {
+        self.version += 3;
+        let set = if self.version % 2 == 1 { "a" } else { "b" };
+        let shards: Vec<String> = (0..SHARDS).map(|shard| format!("{set}{shard}")).collect();
+        let services = shards.iter().map(String::as_str).chain(["one"]);
+        let services: Vec<Value> = services
+            .map(|name| json!({"Name": name, "HealthPath": "/health", "MaxConns": 31, "Protocol": "h1", "Tls": false}))
+            .collect();
+        let single = |name: &str| {
+            json!({"Name": name, "Host": "shop.example", "Prefix": format!("/{name}/"), "Type": name, "TimeoutMs": 2000,
+                "TargetLatencyMs": 300, "Priority": 2, "Service": "one", "Attempts": 2})
+        };
+        let config = json!({
+            "Version": self.version,
+            "Routes": [
+                {"Name": "all", "Host": "shop.example", "Prefix": "/all/", "Type": "safe", "TimeoutMs": 2000,
+                 "TargetLatencyMs": 300, "Priority": 1, "Gather": shards, "Attempts": 2, "TopK": BEST,
+                 "MinCoverage": LEAST as f64 / SHARDS as f64},
+                single("safe"), single("unsafe"),
+            ],
+            "Services": services,
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        });
+        self.store.put("op/config", &config);
+    }
+
+    async fn add_process(&mut self, number: usize, peers: SocketAddr, seeds: Vec<SocketAddr>) -> Result<()> {
+        let name = format!("gateway-{number}");
+        let store = Proxy::start(self.store.address).await?;
+        let callers = free_address()?;
+        let readiness = free_address()?;
+        let metrics = free_address()?.port();
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let content = json!({
+            "NodeName": name, "Zone": "here", "Zones": {"here": "region"}, "InternalPorts": [metrics, metrics],
+            "Listen": {"Frontend": callers.to_string(), "Readiness": readiness.to_string(), "Control": peers.to_string()},
+            "Seeds": seeds, "platform": {"Address": store.address.to_string()},
+            "Bounds": {"GraceS": 6, "RetryBudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 54},
+        });
+        let settings = self.folder.join(format!("{name}.json"));
+        fs::write(&settings, content.to_string())?;
+        let child = self.spawn(&name, &settings)?;
+        self.processes.push(Process {
+            name,
+            callers,
+            readiness,
+            store,
+            child,
+            is_paused: false,
+            settings,
+        });
+        Ok(())
+    }
+
+    fn spawn(&self, name: &str, settings: &PathBuf) -> Result<Child> {
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .kill_on_drop(true)
+            .spawn()?;
+        Ok(child)
+    }
+
+    /// Starts a process again that has ended or is killed now.
+    pub async fn restart(&mut self, ix: usize) -> Result<()> {
+        let process = &mut self.processes[ix];
+        process.child.kill().await?;
+        process.is_paused = false;
+        let (name, settings) = (process.name.clone(), process.settings.clone());
+        self.processes[ix].child = self.spawn(&name, &settings)?;
+        Ok(())
+    }
+
+    /// Sends a signal to a process by its id.
+    pub async fn signal(&mut self, ix: usize, signal: &str) -> Result<()> {
+        let process = &mut self.processes[ix];
+        let Some(id) = process.child.id() else { return Ok(()) };
+        // The standard library has no call for signals other than SIGKILL.
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id.to_string())
+            .status()
+            .await?;
+        ensure!(status.success(), "cannot send {signal} to process {id}");
+        process.is_paused = signal == "STOP" || (process.is_paused && signal != "CONT");
+        Ok(())
+    }
+
+    /// Waits until every process says that it is ready.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let all = async {
+            for process in &self.processes {
+                while !is_ready(process.readiness).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        };
+        let ready = tokio::time::timeout(READY_LIMIT, all).await;
+        ensure!(
+            ready.is_ok(),
+            "not ready within {READY_LIMIT:?}; logs in {}",
+            self.folder.display()
+        );
+        Ok(())
+    }
+
+    /// Ends all processes.
+    pub async fn end(mut self) {
+        for process in &mut self.processes {
+            // A process that has ended already needs no end.
+            let _ended = process.child.kill().await;
+        }
+    }
+}
+
+/// Record of a server. The first bytes order the records of all servers in a mixed way.
+fn record(id: &str, number: u32) -> [u8; 16] {
+    let mut record = [0; 16];
+    let mixed = id.bytes().fold(number.wrapping_mul(0x9E37_79B9), |mixed, byte| {
+        (mixed ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    });
+    record[..4].copy_from_slice(&mixed.to_be_bytes());
+    for (to, from) in record[4..].iter_mut().zip(id.bytes()) {
+        *to = from;
+    }
+    record
+}
+
+fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let probe = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let head = b"GET /-/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        stream.write_all(head).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        Some(answer.starts_with("HTTP/1.1 200"))
+    };
+    let answer = tokio::time::timeout(Duration::from_secs(1), probe).await;
+    answer.ok().flatten().unwrap_or(false)
+}
--- /dev/null
+++ b/crates/gateway-soak/src/main.rs
@@ -0,0 +1,121 @@
+//! Randomized soak: real gateway processes, faults injected from outside, and checks of what callers and backend servers
+//! see. See `docs/design/gateway-soak.md`.
+
+#![forbid(unsafe_code)]
+
+mod callers;
+mod check;
+mod faults;
+mod fleet;
+mod proxy;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::Result;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::callers::Callers;
+use crate::check::Findings;
+use crate::faults::Faults;
+use crate::fleet::Fleet;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs gateway processes under faults and checks what callers and backend servers see.
+        cmd gateway-soak {
+            /// Program to run.
+            optional --program file: PathBuf
+            /// First seed.
+            optional --seed number: u64
+            /// Number of seeds, one after the other.
+            optional --seeds count: u64
+            /// Seconds with faults for each seed.
+            optional --seconds count: u64
+            /// Number of gateway processes.
+            optional --gateways count: usize
+            /// Folder that keeps the logs of seeds that fail.
+            optional --logs folder: PathBuf
+            /// Damages what is checked on purpose: `twice`, `denied`, `mixed`, `target` or `unasked`.
+            optional --plant fault: String
+        }
+    }
+}
+
+fn main() -> Result<ExitCode> {
+    let flags = flags::GatewaySoak::from_env_or_exit();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let program = flags
+        .program
+        .unwrap_or_else(|| PathBuf::from("target/debug/pimento-gateway"));
+    let logs = flags.logs.unwrap_or_else(|| std::env::temp_dir().join("gateway-soak"));
+    let first = flags.seed.unwrap_or(1);
+    let mut failed = Vec::new();
+    for seed in first..first + flags.seeds.unwrap_or(1) {
+        let folder = logs.join(seed.to_string());
+        let settings = Settings {
+            program: program.clone(),
+            folder: folder.clone(),
+            gateways: flags.gateways.unwrap_or(3),
+            time: Duration::from_secs(flags.seconds.unwrap_or(12)),
+            seed,
+            plant: flags.plant.as_deref().map(Into::into),
+        };
+        let findings = runtime.block_on(run(&settings))?;
+        println!("seed {seed}: {}", findings.summary());
+        for finding in findings.all() {
+            println!("  {finding}");
+        }
+        if findings.is_clean() {
+            std::fs::remove_dir_all(&folder)?;
+        } else {
+            println!("  logs of the processes: {}", folder.display());
+            failed.push(seed);
+        }
+    }
+    if failed.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("failed seeds: {failed:?}");
+    Ok(ExitCode::FAILURE)
+}
+
+/// Settings of the run of one seed.
+struct Settings {
+    program: PathBuf,
+    folder: PathBuf,
+    gateways: usize,
+    time: Duration,
+    seed: u64,
+    plant: Option<Box<str>>,
+}
+
+async fn run(settings: &Settings) -> Result<Findings> {
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let mut fleet = Fleet::start(settings).await?;
+    fleet.wait_ready().await?;
+    let callers = Callers::start(&fleet, &mut rng);
+    let end = tokio::time::Instant::now() + settings.time;
+    let mut faults = Faults::new(SmallRng::from_rng(&mut rng));
+    while tokio::time::Instant::now() < end {
+        faults.next(&mut fleet).await?;
+    }
+    Faults::end_all(&mut fleet).await?;
+    fleet.wait_ready().await?;
+    let mut records = callers.stop().await;
+    let calm = callers::calm(&fleet).await;
+    let stops = callers::stop_each(&mut fleet).await?;
+    let mut findings = Findings::default();
+    check::calm(&calm, &fleet, &mut findings);
+    check::stops(&stops, &mut findings);
+    records.extend(calm);
+    records.extend(stops.into_iter().map(|(record, _)| record));
+    check::plant(settings.plant.as_deref(), &mut records, &fleet);
+    check::promises(&records, &fleet, &mut findings);
+    fleet.end().await;
+    Ok(findings)
+}
--- a/platform/tests/testsuite/standin.rs
+++ b/crates/platform-standin/src/lib.rs
@@ -1,4 +1,13 @@
-//! Stand-ins: the platform's store, and backend servers that misbehave on request.
+//! Stand-ins of the first users' platform: its store, and backend servers that misbehave on request.
+//!
+//! Tests and the soak use them. A stand-in that cannot do its work panics, since the run is worth nothing then.
+
+#![forbid(unsafe_code)]
+#![allow(clippy::unwrap_used, reason = "a stand-in that fails must fail the run")]
+#![allow(
+    clippy::missing_panics_doc,
+    reason = "all functions panic when the machine refuses sockets"
+)]
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -21,14 +30,19 @@
 /// Request as a stand-in read it.
 #[derive(Debug, Clone, Default)]
 pub struct Seen {
+    /// Method.
     pub method: String,
+    /// Path and query as they were sent.
     pub target: String,
     /// Headers with lower-case names.
     pub headers: Vec<(String, String)>,
+    /// Body.
     pub body: Vec<u8>,
 }
 
 impl Seen {
+    /// Returns a header by its lower-case name.
+    #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut named = self.headers.iter().filter(|(other, _)| other == name);
         named.next().map(|(_, value)| value.as_str())
@@ -63,8 +77,11 @@
 /// What the store does with reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreMode {
+    /// Answers.
     Up,
+    /// Refuses with 503.
     Busy,
+    /// Never answers.
     Silent,
 }
 
@@ -82,6 +99,7 @@
 /// Stand-in of the store.
 #[derive(Debug, Clone)]
 pub struct Store {
+    /// Address on which it listens.
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
     changed: watch::Sender<u64>,
@@ -89,6 +107,7 @@
 }
 
 impl Store {
+    /// Starts an empty store.
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -117,14 +136,17 @@
         }
     }
 
+    /// Writes a value.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_text(key, &STANDARD.encode(value.to_string()));
     }
 
+    /// Writes a value as it is sent, which should be base64 text.
     pub fn put_text(&self, key: &str, text: &str) {
         self.change(key, Some(text.into()));
     }
 
+    /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.change(key, None);
     }
@@ -142,6 +164,7 @@
         self.changed.send_replace(revision);
     }
 
+    /// Sets what the store does with reads, also with those that wait.
     pub fn set_mode(&self, mode: StoreMode) {
         self.state.lock().unwrap().mode = mode;
         self.changed.send_modify(|_| {});
@@ -154,6 +177,8 @@
         state.events.clear();
     }
 
+    /// Returns the number of reads so far.
+    #[must_use]
     pub fn reads(&self) -> u64 {
         self.state.lock().unwrap().reads
     }
@@ -256,7 +281,7 @@
     Unsigned,
     /// Never answers.
     Silent,
-    /// Answers 421, as another server that has the address.
+    /// Answers 421, as every server does that is not the one that is meant.
     Misdirected,
 }
 
@@ -274,14 +299,18 @@
 /// Stand-in of a backend server.
 #[derive(Debug, Clone)]
 pub struct Server {
+    /// Name of the server.
     pub id: String,
+    /// Address on which it listens.
     pub address: SocketAddr,
-    body: Vec<u8>,
+    /// Body of its answers.
+    pub body: Vec<u8>,
     state: Arc<Mutex<ServerState>>,
     _tasks: Arc<Mutex<JoinSet<()>>>,
 }
 
 impl Server {
+    /// Starts a server that answers with `body`.
     pub async fn start(id: &str, body: &[u8]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = Self {
@@ -312,19 +341,26 @@
         self.state.lock().unwrap().always = Some(act);
     }
 
+    /// Returns the requests that ran.
+    #[must_use]
     pub fn ran(&self) -> Vec<Seen> {
         self.state.lock().unwrap().ran.clone()
     }
 
+    /// Returns the number of requests whose sender left before the answer.
+    #[must_use]
     pub fn left(&self) -> u32 {
         self.state.lock().unwrap().left
     }
 
+    /// Returns the number of connections so far.
+    #[must_use]
     pub fn connections(&self) -> u32 {
         self.state.lock().unwrap().connections
     }
 
     /// Signature of the server for a request.
+    #[must_use]
     pub fn signature(&self, id: &str) -> String {
         format!("{}.{id}", self.id)
     }
@@ -337,7 +373,11 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(seen) = read_request(&mut stream).await {
-            let act = self.act();
+            let expected = seen.header("x-pimentoflow-expect-instance");
+            let act = match expected {
+                Some(expected) if expected != self.id => Act::Misdirected,
+                _ => self.act(),
+            };
             let id = seen.header("x-pimentoflow-request-id").unwrap_or_default().to_owned();
             let signed = format!(
                 "x-pimentoflow-request-id: {id}\r\nx-pimentoflow-server-stamp: {}\r\nx-pimentoflow-server-load: 1,0,3\r\n",
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -1,9 +1,9 @@
 //! Which other instances are there: a gossip over short connections.
 //!
 //! Nobody lists the instances of this tier, and a few seeds are all that a new instance knows. Each instance exchanges
-//! what it knows with one other in every [`INTERVAL`]. The number of instances follows, and with it the share of the
+//! what it knows with one other every 2 s. The number of instances follows, and with it the share of the
 //! connections and extra attempts that this instance may use; and an instance that cannot read the platform gets from
-//! the others what they have read. A message holds at most [`MAX_MEMBERS`] members, so its size and the work of an
+//! the others what they have read. A message holds at most 64 members, so its size and the work of an
 //! instance do not grow with their number. See "Other instances" in `docs/design/platform.md`.
 
 use std::net::SocketAddr;
@@ -60,15 +60,22 @@
 impl Census {
     /// Makes a census that knows the instance itself and the addresses of the seeds.
     #[must_use]
-    pub fn new(own: InstanceId, address: SocketAddr, seeds: Vec<SocketAddr>, assumed: u32) -> Self {
-        Self {
+    pub fn new(own: InstanceId, address: SocketAddr, seeds: &[SocketAddr], assumed: u32) -> Self {
+        let mut census = Self {
             own,
             address,
-            seeds: seeds.into_iter().filter(|seed| *seed != address).collect(),
+            seeds: Vec::new(),
             members: IndexMap::new(),
             rounds: 0,
             assumed,
-        }
+        };
+        census.set_seeds(seeds);
+        census
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.address).collect();
     }
 
     /// Returns the number of instances, this one included.
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -29,6 +29,7 @@
 use slog::warn;
 
 pub use head::HeaderNames;
+pub use program::RELOAD_INTERVAL;
 pub use program::Running;
 pub use program::run;
 pub use program::start;
@@ -105,6 +106,8 @@
     values: IndexMap<Box<str>, Bytes>,
     position: Option<Position>,
     routing: Option<Arc<Routing>>,
+    /// Bound on extra attempts of all instances.
+    extra: ExtraLimits,
     is_listed: bool,
     is_stopping: bool,
 }
@@ -124,13 +127,14 @@
             values: IndexMap::new(),
             position: None,
             routing: None,
+            extra: settings.extra,
             is_listed: false,
             is_stopping: false,
         };
         let census = Census::new(
             settings.instance.clone(),
             settings.peers,
-            settings.seeds.clone(),
+            &settings.seeds,
             settings.assumed_instances,
         );
         let gateway = Self {
@@ -277,6 +281,26 @@
         }
     }
 
+    /// Takes settings that were read again. Seeds and the bound on extra attempts take effect; the rest cannot change
+    /// while the process runs.
+    pub fn on_settings(&self, settings: &GatewaySettings) {
+        let mut census = self.census.lock().unwrap_or_else(PoisonError::into_inner);
+        census.set_seeds(&settings.seeds);
+        drop(census);
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.extra = settings.extra;
+        self.put_in_effect(&known);
+        let fixed = &self.settings;
+        let is_moved = (fixed.callers, fixed.readiness, &fixed.instance, &fixed.data_centre)
+            != (
+                settings.callers,
+                settings.readiness,
+                &settings.instance,
+                &settings.data_centre,
+            );
+        info!(self.log, "settings_in_effect"; "seeds" => settings.seeds.len(), "restart_needed" => is_moved);
+    }
+
     /// Takes the beginning of a planned stop: the balancer is told to send no new connections.
     pub fn begin_stop(&self) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
@@ -333,7 +357,7 @@
         let Some(routing) = &known.routing else { return };
         let instances = self.instances();
         let view = known.directory.view(Some(routing), instances);
-        let extra = self.settings.extra.share(instances);
+        let extra = known.extra.share(instances);
         self.effective.store(Some(Arc::new(Effective {
             routing: Arc::clone(routing),
             view: Arc::new(view),
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexSet;
 use prometheus_client::registry::Registry;
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::Logger;
@@ -46,6 +47,9 @@
 /// Time before the end by force at which a stop gives up on requests in flight, so that they still get an answer.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Interval at which the settings are read again. They hold nothing that has to take effect sooner.
+pub const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Interval at which entries that lapsed are judged.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -88,7 +92,8 @@
     }
 }
 
-/// Runs a gateway until a signal asks for a planned stop, and returns how the stop ended.
+/// Runs a gateway until a signal asks for a planned stop, and returns how the stop ended. `reload` reads the settings
+/// again; it is called after SIGHUP and every [`RELOAD_INTERVAL`], since settings also change without a signal.
 ///
 /// # Errors
 ///
@@ -98,20 +103,30 @@
     names: HeaderNames,
     decoder: Decoder,
     catalogue: impl Catalogue + 'static,
-    seed: u64,
+    reload: impl Fn() -> eyre::Result<GatewaySettings>,
     log: Logger,
 ) -> eyre::Result<Outcome> {
     // The handlers are in place before the first request, so that no signal ends the process the hard way.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut current = settings.clone();
+    let seed = rand::rng().random();
     let running = start(settings, names, decoder, catalogue, seed, log.clone()).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            // Nothing in the settings can change while the process runs; the line shows that the signal was seen.
-            _ = reload.recv() => info!(log, "reload"; "changes" => 0),
+            _ = hangup.recv() => info!(log, "reload_asked"),
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {}
+        }
+        match reload() {
+            Ok(settings) if settings != current => {
+                running.reload(&settings);
+                current = settings;
+            }
+            Ok(_unchanged) => {}
+            Err(error) => warn!(log, "settings_refused"; "error" => format!("{error:#}")),
         }
     }
     Ok(running.stop().await)
@@ -176,6 +191,11 @@
         self.gateway.is_cut()
     }
 
+    /// Takes settings that were read again.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        self.gateway.on_settings(settings);
+    }
+
     /// Runs a planned stop and returns how it ended.
     pub async fn stop(mut self) -> Outcome {
         let grace = self.gateway.settings.grace;
--- a/tests/testsuite/census.rs
+++ b/tests/testsuite/census.rs
@@ -27,7 +27,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let seeds = vec![address(0), address(1), address(9999)];
         let all = (0..count).map(|number| {
-            let census = Census::new(format!("i{number}").into(), address(number), seeds.clone(), 6);
+            let census = Census::new(format!("i{number}").into(), address(number), &seeds, 6);
             let first = now + Duration::from_millis(rng.random_range(0..300));
             (address(number), census, first)
         });
@@ -121,6 +121,6 @@
 /// Guards against an instance that takes itself to be alone before it has heard of any other.
 #[test]
 fn a_number_is_assumed_until_another_is_known() {
-    let census = Census::new("own".into(), address(0), vec![address(1)], 6);
+    let census = Census::new("own".into(), address(0), &[address(1)], 6);
     assert_eq!(census.count(), 6);
 }
