gateway: shares of a server's connections by data centre; longer waits for changes

Cause: in a cut-off data centre each instance kept to its share of all instances, though only the local ones could use the local servers; and a third of the calls to the store were waits that ended without a change.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -22,6 +22,7 @@
 use crate::ids::SearcherId;
 use crate::ids::ServiceId;
 use crate::process::backends::standing::Standing;
+use crate::process::census::Count;
 use crate::version::routing::Routing;
 
 /// Time after the return of the platform within which entries that lapsed during its absence are back. An entry that is
@@ -238,19 +239,31 @@
         gone
     }
 
-    /// Returns the servers that may be asked. `instances` is the number of instances that share the connections of a
-    /// server.
+    /// Returns the servers that may be asked. `instances` share their connections.
     #[must_use]
-    pub fn view(&self, routing: Option<&Routing>, instances: u32) -> View {
+    pub fn view(&self, routing: Option<&Routing>, instances: Count) -> View {
         let mut services: IndexMap<ServiceId, Vec<Arc<Backend>>> = IndexMap::new();
         for known in self.servers.values().filter(|known| !known.leaving) {
             let backend = &known.backend;
             let limits = routing.and_then(|routing| routing.services.get(&backend.entry.service));
             let all = limits.map_or(DEFAULT_CONNECTIONS, |limits| limits.connections);
-            backend.pool.set_limit((all / instances.max(1)).max(LEAST_CONNECTIONS));
+            let share = connection_share(all, instances, backend.is_local);
+            backend.pool.set_limit(share);
             let servers = services.entry(backend.entry.service.clone()).or_default();
             servers.push(Arc::clone(backend));
         }
         View { services }
     }
 }
+
+/// Returns the share of this instance of the connections of a server. The instances of the server's data centre send it
+/// most of their requests, so half of the connections is theirs, and the other half is for all others.
+fn connection_share(all: u32, instances: Count, is_local: bool) -> u32 {
+    let others = instances.all.saturating_sub(instances.local);
+    let share = match (is_local, others) {
+        (true, 0) => all / instances.local.max(1),
+        (true, _) => all / 2 / instances.local.max(1),
+        (false, others) => all / 2 / others.max(1),
+    };
+    share.max(LEAST_CONNECTIONS)
+}
--- a/src/process/backends/place.rs
+++ b/src/process/backends/place.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::process::backends::Backend;
+use crate::process::census::Count;
 use crate::request::fanout::ServerIndex;
 
 /// Time by which a server of another data centre must be better, as a share of the objective. Traffic between data
@@ -42,7 +43,7 @@
     asked: &[ServerIndex],
     usual: Duration,
     objective: Duration,
-    instances: u32,
+    instances: Count,
     now: Instant,
     rng: &mut impl Rng,
 ) -> Place {
@@ -57,7 +58,13 @@
         if standing.is_avoided(now) || (standing.is_doubtful() && standing.in_flight() > 0) {
             continue;
         }
-        let limit = standing.flight_limit(usual, objective, instances, now);
+        // Most requests to a server come from the instances of its data centre.
+        let sharers = if server.is_local {
+            instances.local
+        } else {
+            instances.all
+        };
+        let limit = standing.flight_limit(usual, objective, sharers, now);
         if standing.in_flight() >= limit || !server.pool.has_room() {
             full = true;
             continue;
--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -20,13 +20,13 @@
 use crate::process::gateway::Gateway;
 use crate::version::routing::Routing;
 
-/// Time for which a read waits for changes. A connection that fell silent is noticed one such time later, which must lie
-/// below the time in which a change has to be in effect (3 s) together with the time that follows any loss (4 s).
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// Time for which a read waits for changes. A read whose answer is lost ends about 6 s after it began, which must lie
+/// below the time until the platform counts as stable again (4 s) and a change has to be in effect (3 s).
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 
 /// Pause between a change and the next read. Changes come in series, as when servers join or report that they are still
 /// cold, and each read is paid for. It lies well below the times in which a change has to be in effect (3 s).
-const CHANGE_PAUSE: Duration = Duration::from_millis(700);
+const CHANGE_PAUSE: Duration = Duration::from_millis(1000);
 
 /// First pause after a failed read. It doubles with each further failure.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::ids::DataCentreId;
 use crate::ids::InstanceId;
 use crate::wire::proto;
 
@@ -39,30 +40,48 @@
 /// about every `known / 64` rounds of 2 s, and three such times allow for chance.
 const FORGET_EACH: Duration = Duration::from_millis(95);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Member {
     address: SocketAddr,
+    data_centre: DataCentreId,
     heard: Instant,
 }
 
+/// Number of instances, this one included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Count {
+    /// In all data centres.
+    pub all: u32,
+    /// In the data centre of this instance.
+    pub local: u32,
+}
+
 /// What is known of other instances.
 #[derive(Debug)]
 pub struct Census {
     own: InstanceId,
+    data_centre: DataCentreId,
     address: SocketAddr,
     seeds: Vec<SocketAddr>,
     members: IndexMap<InstanceId, Member>,
     rounds: u32,
     /// Number of instances that is assumed until another one was heard of.
-    assumed: u32,
+    assumed: Count,
 }
 
 impl Census {
     /// Makes a census that knows the instance itself and the addresses of the seeds.
     #[must_use]
-    pub fn new(own: InstanceId, address: SocketAddr, seeds: &[SocketAddr], assumed: u32) -> Self {
+    pub fn new(
+        own: InstanceId,
+        data_centre: DataCentreId,
+        address: SocketAddr,
+        seeds: &[SocketAddr],
+        assumed: Count,
+    ) -> Self {
         let mut census = Self {
             own,
+            data_centre,
             address,
             seeds: Vec::new(),
             members: IndexMap::new(),
@@ -78,13 +97,17 @@
         self.seeds = seeds.iter().copied().filter(|seed| *seed != self.address).collect();
     }
 
-    /// Returns the number of instances, this one included.
+    /// Returns the number of instances.
     #[must_use]
-    pub fn count(&self) -> u32 {
-        match u32::try_from(self.members.len()) {
-            Ok(0) => self.assumed,
-            Ok(others) => others + 1,
-            Err(_) => u32::MAX,
+    pub fn count(&self) -> Count {
+        if self.members.is_empty() {
+            return self.assumed;
+        }
+        let members = self.members.values();
+        let local = members.filter(|member| member.data_centre == self.data_centre).count();
+        Count {
+            all: u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX),
+            local: u32::try_from(local + 1).unwrap_or(u32::MAX),
         }
     }
 
@@ -98,10 +121,17 @@
                 continue;
             }
             let Some(heard) = heard else { continue };
-            let known = self.members.entry(member.instance.as_str().into());
-            let known = known.or_insert(Member { address, heard });
-            if heard >= known.heard {
-                *known = Member { address, heard };
+            let news = Member {
+                address,
+                data_centre: member.data_centre.as_str().into(),
+                heard,
+            };
+            match self.members.get_mut(member.instance.as_str()) {
+                Some(known) if known.heard > heard => {}
+                Some(known) => *known = news,
+                None => {
+                    self.members.insert(member.instance.as_str().into(), news);
+                }
             }
         }
     }
@@ -121,6 +151,7 @@
         let own = proto::Member {
             instance: self.own.to_string(),
             address: self.address.to_string(),
+            data_centre: self.data_centre.to_string(),
             age_us: 0,
         };
         let others = known.into_iter().take(MAX_MEMBERS - 1).map(|(instance, member)| {
@@ -128,6 +159,7 @@
             proto::Member {
                 instance: instance.to_string(),
                 address: member.address.to_string(),
+                data_centre: member.data_centre.to_string(),
                 age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
             }
         });
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -47,6 +47,7 @@
 use crate::process::catalogue::Item;
 use crate::process::catalogue::Position;
 use crate::process::census::Census;
+use crate::process::census::Count;
 use crate::process::extra::ExtraBudget;
 use crate::process::extra::ExtraLimits;
 use crate::process::gateway::lines::Lines;
@@ -73,8 +74,8 @@
     pub(crate) view: Arc<View>,
     /// Bound on the extra attempts of this instance.
     pub(crate) extra: ExtraLimits,
-    /// Number of instances, this one included.
-    pub(crate) instances: u32,
+    /// Number of instances.
+    pub(crate) instances: Count,
 }
 
 /// State shared by all requests of an instance.
@@ -133,6 +134,7 @@
         };
         let census = Census::new(
             settings.instance.clone(),
+            settings.data_centre.clone(),
             settings.peers,
             &settings.seeds,
             settings.assumed_instances,
@@ -162,9 +164,9 @@
         self.readiness.clone()
     }
 
-    /// Returns the number of instances that are known, this one included.
+    /// Returns the number of instances that are known.
     #[must_use]
-    pub fn instances(&self) -> u32 {
+    pub fn instances(&self) -> Count {
         self.census.lock().unwrap_or_else(PoisonError::into_inner).count()
     }
 
@@ -357,7 +359,7 @@
         let Some(routing) = &known.routing else { return };
         let instances = self.instances();
         let view = known.directory.view(Some(routing), instances);
-        let extra = known.extra.share(instances);
+        let extra = known.extra.share(instances.all);
         self.effective.store(Some(Arc::new(Effective {
             routing: Arc::clone(routing),
             view: Arc::new(view),
--- a/src/process/gateway/neighbours.rs
+++ b/src/process/gateway/neighbours.rs
@@ -18,6 +18,7 @@
 use tokio_util::codec::Framed;
 
 use crate::process::catalogue::Change;
+use crate::process::census::Count;
 use crate::process::gateway::Gateway;
 use crate::wire::codec::CodecError;
 use crate::wire::codec::FrameCodec;
@@ -97,8 +98,8 @@
         next
     }
 
-    fn on_instances(&self, before: u32, count: u32) {
-        info!(self.log, "instances"; "before" => before, "count" => count);
+    fn on_instances(&self, before: Count, count: Count) {
+        info!(self.log, "instances"; "before" => before.all, "all" => count.all, "local" => count.local);
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         self.put_in_effect(&known);
     }
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -25,6 +25,7 @@
 use crate::process::catalogue;
 use crate::process::catalogue::Catalogue;
 use crate::process::catalogue::Decoder;
+use crate::process::census::Count;
 use crate::process::drain;
 use crate::process::drain::Outcome;
 use crate::process::gateway::Gateway;
@@ -179,9 +180,9 @@
 }
 
 impl Running {
-    /// Returns the number of instances that this one knows, itself included.
+    /// Returns the number of instances that this one knows.
     #[must_use]
-    pub fn instances(&self) -> u32 {
+    pub fn instances(&self) -> Count {
         self.gateway.instances()
     }
 
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::DataCentreId;
 use crate::ids::InstanceId;
+use crate::process::census::Count;
 use crate::process::extra::ExtraLimits;
 
 /// Settings of a gateway.
@@ -27,7 +28,7 @@
     /// Addresses of other instances to begin with; they may be wrong or down.
     pub seeds: Vec<SocketAddr>,
     /// Number of instances that is assumed until another one was heard of.
-    pub assumed_instances: u32,
+    pub assumed_instances: Count,
     /// Bound on extra attempts of all instances.
     pub extra: ExtraLimits,
     /// Time between the signal to stop and the end of the process by force.
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -443,6 +443,8 @@
     /// Time since the instance itself was last heard of by anyone.
     #[prost(uint64, tag = "3")]
     pub age_us: u64,
+    #[prost(string, tag = "4")]
+    pub data_centre: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoredValue {
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -12,12 +12,15 @@
 use pimentoflow::process::backends::place::Place;
 use pimentoflow::process::backends::standing::LoadFigures;
 use pimentoflow::process::backends::standing::Standing;
+use pimentoflow::process::census::Count;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 const USUAL: Duration = Duration::from_millis(20);
 const OBJECTIVE: Duration = Duration::from_millis(150);
 
+const ALONE: Count = Count { all: 1, local: 1 };
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -36,7 +39,7 @@
 }
 
 fn ids(directory: &Directory) -> Vec<String> {
-    let view = directory.view(None, 1);
+    let view = directory.view(None, ALONE);
     let servers = view.servers("shard").iter();
     servers.map(|server| server.entry.id.to_string()).collect()
 }
@@ -46,12 +49,12 @@
     for (id, data_centre) in [("near", "here"), ("far-1", "there"), ("far-2", "elsewhere")] {
         directory.on_entry(entry(id, data_centre), now);
     }
-    directory.view(None, 1)
+    directory.view(None, ALONE)
 }
 
 fn best(view: &View, asked: &[usize], now: Instant) -> Place {
     let mut rng = SmallRng::seed_from_u64(1);
-    place::best(view.servers("shard"), asked, USUAL, OBJECTIVE, 1, now, &mut rng)
+    place::best(view.servers("shard"), asked, USUAL, OBJECTIVE, ALONE, now, &mut rng)
 }
 
 /// Guards against requests to a server that is leaving, and one that left.
@@ -101,14 +104,14 @@
     let now = Instant::now();
     let mut directory = Directory::new("here".into());
     directory.on_entry(entry("a", "here"), now);
-    let before = directory.view(None, 1).servers("shard")[0].clone();
+    let before = directory.view(None, ALONE).servers("shard")[0].clone();
     before.standing().on_failure(now);
     let restarted = BackendEntry {
         born: 2,
         ..entry("a", "here")
     };
     assert_eq!(directory.on_entry(restarted, now), Effect::Restarted);
-    let view = directory.view(None, 1);
+    let view = directory.view(None, ALONE);
     assert!(!view.servers("shard")[0].standing().is_avoided(now));
 }
 
@@ -202,6 +205,28 @@
     assert_eq!(standing.flight_limit(USUAL, OBJECTIVE, 4, now), 1);
 }
 
+/// Load pattern: a data centre is cut off, and all its requests go to its own servers. Guards against instances elsewhere,
+/// which cannot reach these servers, taking the share of the local ones.
+#[test]
+fn instances_of_the_own_data_centre_share_its_servers() {
+    let now = Instant::now();
+    let mut directory = Directory::new("here".into());
+    directory.on_entry(entry("near", "here"), now);
+    directory.on_entry(entry("far", "there"), now);
+    let instances = Count { all: 33, local: 8 };
+    let view = directory.view(None, instances);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut flights = [0, 0];
+    loop {
+        let place = place::best(view.servers("shard"), &[], USUAL, OBJECTIVE, instances, now, &mut rng);
+        let Place::Server(ix, expected) = place else { break };
+        view.servers("shard")[ix].standing().begin(expected, now);
+        flights[ix] += 1;
+    }
+    // 3 slots, 150 ms and 20 ms each make 22 for all.
+    assert_eq!(flights, [3, 1]);
+}
+
 /// Guards against load figures that are believed long after they came, and against own requests that are counted twice.
 #[test]
 fn load_figures_of_others_count_while_they_are_fresh() {
--- a/tests/testsuite/census.rs
+++ b/tests/testsuite/census.rs
@@ -5,10 +5,13 @@
 use std::time::Instant;
 
 use pimentoflow::process::census::Census;
+use pimentoflow::process::census::Count;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+const ASSUMED: Count = Count { all: 6, local: 2 };
+
 /// Instances that run the gossip on a virtual clock.
 struct World {
     all: Vec<(SocketAddr, Census, Instant)>,
@@ -27,7 +30,13 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let seeds = vec![address(0), address(1), address(9999)];
         let all = (0..count).map(|number| {
-            let census = Census::new(format!("i{number}").into(), address(number), &seeds, 6);
+            let census = Census::new(
+                format!("i{number}").into(),
+                format!("dc{}", number % 3).into(),
+                address(number),
+                &seeds,
+                ASSUMED,
+            );
             let first = now + Duration::from_millis(rng.random_range(0..300));
             (address(number), census, first)
         });
@@ -70,7 +79,7 @@
 
     fn counts(&self) -> Vec<u32> {
         let up = self.all.iter().zip(&self.up).filter(|(_, up)| **up);
-        up.map(|((_, census, _), _)| census.count()).collect()
+        up.map(|((_, census, _), _)| census.count().all).collect()
     }
 }
 
@@ -82,6 +91,10 @@
         let mut world = World::new(33, seed);
         world.run(Duration::from_secs(8));
         assert_eq!(world.counts(), vec![33; 33], "seed {seed}");
+        assert!(
+            world.all.iter().all(|(_, census, _)| census.count().local == 11),
+            "seed {seed}"
+        );
     }
 }
 
@@ -121,6 +134,6 @@
 /// Guards against an instance that takes itself to be alone before it has heard of any other.
 #[test]
 fn a_number_is_assumed_until_another_is_known() {
-    let census = Census::new("own".into(), address(0), &[address(1)], 6);
-    assert_eq!(census.count(), 6);
+    let census = Census::new("own".into(), "dc0".into(), address(0), &[address(1)], ASSUMED);
+    assert_eq!(census.count(), ASSUMED);
 }
