--- a/src/process/backends/place.rs
+++ b/src/process/backends/place.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::process::backends::Backend;
+use crate::process::backends::standing::Standing;
 use crate::process::census::Count;
 use crate::request::fanout::ServerIndex;
 
@@ -85,3 +86,44 @@
         None => Place::Nobody,
     }
 }
+
+/// Describes why servers take no attempt, for the log: for each its name, the requests in flight and their limit, and
+/// `avoided` after a failure or `no_connection` when all connections are in use.
+#[must_use]
+pub fn describe(
+    servers: &[Arc<Backend>],
+    usual: Duration,
+    objective: Duration,
+    instances: Count,
+    now: Instant,
+) -> String {
+    let described = servers.iter().map(|server| {
+        let standing = server.standing();
+        let limit = flight_limit(server, &standing, usual, objective, instances, now);
+        let state = match (standing.is_avoided(now), server.pool.has_room()) {
+            (true, _) => " avoided",
+            (false, false) => " no_connection",
+            (false, true) => "",
+        };
+        format!("{} {}/{limit}{state}", server.entry.id, standing.in_flight())
+    });
+    described.collect::<Vec<String>>().join(", ")
+}
+
+/// Returns the requests that this instance may have in flight at a server. Most requests to a server come from the
+/// instances of its data centre.
+fn flight_limit(
+    server: &Backend,
+    standing: &Standing,
+    usual: Duration,
+    objective: Duration,
+    instances: Count,
+    now: Instant,
+) -> usize {
+    let sharers = if server.is_local {
+        instances.local
+    } else {
+        instances.all
+    };
+    standing.flight_limit(usual, objective, sharers, now)
+}
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -27,9 +27,16 @@
 /// Exchanges after a start that go to the seeds in turn, so that instances that start together meet there.
 const SEED_ROUNDS: u32 = 6;
 
-/// Share of later exchanges that go to a seed. It joins groups that were apart.
+/// Members from which on a new instance asks them instead of the seeds, so that a few seeds can serve a large fleet that
+/// starts at one time.
+const SEED_UNTIL: usize = 32;
+
+/// Share of later exchanges that go to a seed, at most. It joins groups that were apart.
 const SEED_SHARE: f64 = 0.2;
 
+/// Exchanges with seeds in one interval by all instances together. The share of each falls as the fleet grows.
+const SEED_EXCHANGES: f64 = 8.0;
+
 /// Members in one message.
 const MAX_MEMBERS: usize = 64;
 
@@ -170,9 +177,11 @@
     pub fn partner(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
         let round = self.rounds;
         self.rounds = self.rounds.saturating_add(1);
-        let to_seed = round < SEED_ROUNDS || self.members.is_empty() || rng.random_bool(SEED_SHARE);
+        let is_new = round < SEED_ROUNDS && self.members.len() < SEED_UNTIL;
+        let share = SEED_SHARE.min(SEED_EXCHANGES / self.members.len().max(1) as f64);
+        let to_seed = is_new || self.members.is_empty() || rng.random_bool(share);
         if to_seed && !self.seeds.is_empty() {
-            let turn = if round < SEED_ROUNDS {
+            let turn = if is_new {
                 round as usize
             } else {
                 rng.random_range(0..self.seeds.len())
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -68,6 +68,9 @@
 /// after 0.25 to 2 s.
 const SERVER_RETRY: Duration = Duration::from_millis(400);
 
+/// Parts of one request whose servers are described in the log. Two missing parts are enough to end most requests.
+const MAX_GIVEN_UP: usize = 3;
+
 /// Counts a request as in flight until it is dropped.
 struct InFlight(Arc<Gateway>);
 
@@ -466,6 +469,9 @@
         let elapsed = self.started.elapsed();
         let service = self.services.first().map_or("", |service| service);
         self.gateway.measures.record(service, outcome, elapsed);
+        if matches!(verdict, Verdict::Refuse(_) | Verdict::Fail(_)) {
+            self.log_given_up();
+        }
         let topic = if outcome == "ok" { Topic::Usual } else { Topic::Trouble };
         if !self.gateway.lines.allow(&self.gateway.log, topic) {
             return answer;
@@ -479,6 +485,29 @@
         answer
     }
 
+    /// Logs why parts were given up without an attempt.
+    fn log_given_up(&self) {
+        let log = &self.gateway.log;
+        let now = Instant::now();
+        let unsent = self.fanout.given_up().filter(|(_, lack)| *lack != Lack::Failed);
+        for (part, lack) in unsent.take(MAX_GIVEN_UP) {
+            if !self.gateway.lines.allow(log, Topic::Trouble) {
+                return;
+            }
+            let service = &self.services[part];
+            let servers = self.effective.view.servers(service);
+            let state = place::describe(
+                servers,
+                self.usual(),
+                self.route.objective,
+                self.effective.instances,
+                now,
+            );
+            info!(log, "part_given_up"; "id" => self.id.to_str().ok(), "part" => part, "lack" => ?lack,
+                "service" => &**service, "servers" => state, "instances" => self.effective.instances.all);
+        }
+    }
+
     fn merge(&self, set: &ShardSet, missing: usize) -> (&'static str, CallerAnswer) {
         let answer = answer::merged(&self.gateway.names, self.parts.clone(), set.best);
         (if missing == 0 { "ok" } else { "partial" }, answer)
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -187,12 +187,23 @@
         self.parts.len() - self.done
     }
 
-    /// Returns the parts that are missing now with the reasons, for the log: `late` where an attempt is in flight.
+    /// Returns the parts that were given up, with the reasons.
+    pub fn given_up(&self) -> impl Iterator<Item = (usize, Lack)> {
+        let parts = self.parts.iter().enumerate();
+        parts.filter_map(|(ix, part)| match part.state {
+            State::Missing(lack) => Some((ix, lack)),
+            State::Open | State::Done => None,
+        })
+    }
+
+    /// Returns the parts that are missing now with the reasons, for the log: `late` where an attempt is in
+    /// flight, and `unsent` where none was made yet.
     #[must_use]
     pub fn lacks(&self) -> String {
         let parts = self.parts.iter().enumerate();
         let lacks = parts.filter_map(|(ix, part)| match part.state {
             State::Done => None,
+            State::Open if part.live == 0 => Some(format!("{ix}:unsent")),
             State::Open => Some(format!("{ix}:late")),
             State::Missing(Lack::NoServer) => Some(format!("{ix}:no_server")),
             State::Missing(Lack::NoRoom) => Some(format!("{ix}:no_room")),
