--- a/crates/gateway-soak/src/callers.rs
+++ b/crates/gateway-soak/src/callers.rs
@@ -29,6 +29,9 @@
 /// Time that a caller waits, which it also states.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
+/// Time that a caller waits after the faults. Nothing but a stalled machine needs it.
+const CALM_PATIENCE: Duration = Duration::from_secs(8);
+
 /// Rounds over all processes and routes after the faults.
 const CALM_ROUNDS: usize = 10;
 
@@ -135,7 +138,10 @@
             .uri(kind.path())
             .header("host", "shop.example")
             .header("x-pimentoflow-request-id", id)
-            .header("x-pimentoflow-deadline-ms", PATIENCE.as_millis().to_string())
+            .header(
+                "x-pimentoflow-deadline-ms",
+                patience.max(PATIENCE).as_millis().to_string(),
+            )
             .body(Full::new(Bytes::from_static(b"body")))
             .ok()?;
         let response = connection.send_request(request).await.ok()?;
@@ -170,7 +176,7 @@
         for process in &fleet.processes {
             for kind in [Kind::All, Kind::Safe, Kind::Unsafe] {
                 let id = format!("calm-{}-{round}-{kind:?}", process.name);
-                let answer = ask(&mut None, process.callers, &id, kind, PATIENCE).await;
+                let answer = ask(&mut None, process.callers, &id, kind, CALM_PATIENCE).await;
                 records.push(Record { id, kind, answer });
             }
         }
@@ -190,7 +196,7 @@
         let address = fleet.processes[ix].callers;
         let id = format!("stop-{ix}");
         let asked = id.clone();
-        let asking = tokio::spawn(async move { ask(&mut None, address, &asked, Kind::Unsafe, PATIENCE).await });
+        let asking = tokio::spawn(async move { ask(&mut None, address, &asked, Kind::Unsafe, CALM_PATIENCE).await });
         let ran = |fleet: &Fleet| {
             let mut all = fleet.backends.iter().flat_map(|backend| backend.server.ran());
             all.any(|seen| seen.header("x-pimentoflow-request-id") == Some(&id))
--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -135,13 +135,13 @@
             .map(|name| json!({"Name": name, "HealthPath": "/health", "MaxConns": 31, "Protocol": "h1", "Tls": false}))
             .collect();
         let single = |name: &str| {
-            json!({"Name": name, "Host": "shop.example", "Prefix": format!("/{name}/"), "Type": name, "TimeoutMs": 2000,
+            json!({"Name": name, "Host": "shop.example", "Prefix": format!("/{name}/"), "Type": name, "TimeoutMs": 8000,
                 "TargetLatencyMs": 300, "Priority": 2, "Service": "one", "Attempts": 2})
         };
         let config = json!({
             "Version": self.version,
             "Routes": [
-                {"Name": "all", "Host": "shop.example", "Prefix": "/all/", "Type": "safe", "TimeoutMs": 2000,
+                {"Name": "all", "Host": "shop.example", "Prefix": "/all/", "Type": "safe", "TimeoutMs": 8000,
                  "TargetLatencyMs": 300, "Priority": 1, "Gather": shards, "Attempts": 2, "TopK": BEST,
                  "MinCoverage": LEAST as f64 / SHARDS as f64},
                 single("safe"), single("unsafe"),
--- a/src/process/backends/standing.rs
+++ b/src/process/backends/standing.rs
@@ -9,12 +9,19 @@
 /// Weight of a new value in the moving average of the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 
-/// Time in which the excess of the slowness halves without new values, so that a server that recovered is asked again.
-const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time in which an observation halves without new values, so that a server that recovered is asked again.
+const HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Greatest slowness that is remembered. A server of twelve times the usual latency occurs; more carries no information.
 const SLOWNESS_MAX: f64 = 16.0;
 
+/// Cost of a failure that is as good as certain, as a multiple of the usual latency: the time of an attempt elsewhere, and
+/// the loss of a request that must not be repeated.
+const ERROR_COST: f64 = 8.0;
+
+/// Weight of a new value in the moving average of the share of failures.
+const ERROR_WEIGHT: f64 = 0.2;
+
 /// Age up to which the load figures of an answer are believed.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(150);
 
@@ -83,6 +90,9 @@
     next: FlightNumber,
     slowness: f64,
     slowness_at: Instant,
+    /// Share of requests that the server answered with a failure.
+    errors: f64,
+    errors_at: Instant,
     reported: Option<Reported>,
     failures: u32,
     avoid_until: Option<Instant>,
@@ -100,6 +110,8 @@
             next: 0,
             slowness: 1.0,
             slowness_at: now,
+            errors: 0.0,
+            errors_at: now,
             reported: None,
             failures: 0,
             avoid_until: None,
@@ -128,6 +140,7 @@
     pub fn on_answer(&mut self, latency: Duration, usual: Option<Duration>, now: Instant) {
         self.failures = 0;
         self.avoid_until = None;
+        self.observe_error(0.0, now);
         if let Some(usual) = usual.filter(|usual| !usual.is_zero()) {
             let ratio = (latency.as_secs_f64() / usual.as_secs_f64()).min(SLOWNESS_MAX);
             let before = self.slowness(now);
@@ -165,6 +178,11 @@
         });
     }
 
+    /// Takes an answer that is a failure. A server that fails fast looks idle otherwise, and draws requests.
+    pub fn on_error(&mut self, now: Instant) {
+        self.observe_error(1.0, now);
+    }
+
     /// Takes a refusal because the server was full.
     pub fn on_full(&mut self, now: Instant) {
         self.full_until = Some(now + FULL_TIME);
@@ -207,6 +225,7 @@
         // A server near its last slot slows down, so a busy server costs a little even before requests wait.
         let busy = 0.1 * f64::from(load - 1) / f64::from(self.slots);
         let mut expected = usual.mul_f64(slowness * (rounds + busy));
+        expected += usual.mul_f64(ERROR_COST * self.errors(now));
         if self.is_stalled(now) {
             expected += STALL_TIME;
         }
@@ -251,8 +270,22 @@
     }
 
     fn slowness(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.slowness_at).as_secs_f64();
-        let left = (-age / SLOWNESS_HALF_LIFE.as_secs_f64()).exp2();
-        (self.slowness - 1.0).mul_add(left, 1.0)
+        (self.slowness - 1.0).mul_add(remains(self.slowness_at, now), 1.0)
+    }
+
+    fn errors(&self, now: Instant) -> f64 {
+        self.errors * remains(self.errors_at, now)
+    }
+
+    fn observe_error(&mut self, value: f64, now: Instant) {
+        let before = self.errors(now);
+        self.errors = (value - before).mul_add(ERROR_WEIGHT, before);
+        self.errors_at = now;
     }
 }
+
+/// Returns the share of an observation that still counts.
+fn remains(at: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    (-age / HALF_LIFE.as_secs_f64()).exp2()
+}
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -5,6 +5,8 @@
 //! `docs/design/platform.md`.
 
 mod answer;
+mod attempt;
+mod forwarding;
 mod head;
 pub mod lines;
 mod measures;
--- /dev/null
+++ b/src/process/gateway/attempt.rs
@@ -0,0 +1,230 @@
+//! One attempt at one backend server: sends it, and learns from how it ends.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderValue;
+use http::StatusCode;
+use slog::info;
+
+use crate::connection::upstream::Answer;
+use crate::connection::upstream::Exchange;
+use crate::connection::upstream::ExchangeError;
+use crate::ids::ServiceId;
+use crate::process::backends::Backend;
+use crate::process::backends::standing::FlightNumber;
+use crate::process::extra::ExtraLimits;
+use crate::process::gateway::Gateway;
+use crate::process::gateway::head;
+use crate::process::gateway::head::Outgoing;
+use crate::process::gateway::lines::Topic;
+use crate::process::gateway::measures::AttemptLabels;
+use crate::process::pace::Pace;
+use crate::process::pace::Summary;
+use crate::request::fanout::Cause;
+use crate::request::fanout::Ending;
+use crate::request::fanout::Send;
+
+/// What an attempt needs of its request.
+pub(super) struct Attempted {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) server: Arc<Backend>,
+    pub(super) service: ServiceId,
+    pub(super) pace: Arc<Mutex<Pace>>,
+    pub(super) outgoing: Arc<Outgoing>,
+    pub(super) id: HeaderValue,
+    pub(super) deadline: Instant,
+    pub(super) limits: ExtraLimits,
+    /// Whether the answer is a part, of which only a success is of use.
+    pub(super) is_part: bool,
+}
+
+/// Attempt in flight at one server. Dropping it ends the attempt in the observations.
+pub(super) struct Attempt {
+    target: Attempted,
+    send: Send,
+    usual: Option<Duration>,
+    number: FlightNumber,
+    sent: Instant,
+    is_ended: bool,
+}
+
+/// End of an attempt.
+pub(super) struct Ended {
+    pub(super) part: usize,
+    pub(super) ending: Ending,
+    pub(super) answer: Option<Answer>,
+}
+
+/// End of an attempt with what is logged of it.
+struct Judged {
+    ending: Ending,
+    is_unsent: bool,
+    answer: Option<Answer>,
+    reason: Option<Box<str>>,
+}
+
+impl Attempt {
+    /// Counts the attempt at its server from now on, so that the next choice sees it. `usual` is the usual latency of
+    /// the route, and `summary` what was observed of it.
+    pub(super) fn begin(
+        target: Attempted,
+        send: Send,
+        usual: Duration,
+        summary: Option<Summary>,
+        now: Instant,
+    ) -> Self {
+        let mut standing = target.server.standing();
+        let expected = standing.expected(usual, now);
+        let number = standing.begin(expected, now);
+        drop(standing);
+        Self {
+            target,
+            send,
+            usual: summary.map(|summary| summary.median),
+            number,
+            sent: now,
+            is_ended: false,
+        }
+    }
+
+    /// Sends the request and reads the answer. Dropping the future closes the connection.
+    pub(super) async fn run(mut self) -> Ended {
+        let names = &self.target.gateway.names;
+        let exchange = Exchange {
+            deadline: self.target.deadline,
+            echo: (&names.request_id, &self.target.id),
+        };
+        let server = &self.target.server;
+        let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
+        let answer = server.pool.exchange(exchange, prepare).await;
+        let judged = self.judge(answer);
+        if judged.is_unsent && self.send.cause != Cause::First {
+            let now = Instant::now();
+            let limits = &self.target.limits;
+            let service = &self.target.service;
+            self.target
+                .gateway
+                .with_budget(service, now, |budget| budget.put_back(limits, now));
+        }
+        self.report(&judged);
+        Ended {
+            part: self.send.part,
+            ending: judged.ending,
+            answer: judged.answer,
+        }
+    }
+
+    /// Takes what the exchange brought, and what it shows about the server.
+    fn judge(&mut self, answer: Result<Answer, ExchangeError>) -> Judged {
+        self.is_ended = true;
+        let now = Instant::now();
+        let mut standing = self.target.server.standing();
+        standing.end(self.number);
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                let is_unsent = error.is_unsent();
+                if !matches!(error, ExchangeError::NoConnection | ExchangeError::TooLate) {
+                    standing.on_failure(now);
+                }
+                if matches!(error, ExchangeError::TimedOut) {
+                    self.target.server.pool.close_idle();
+                }
+                return Judged {
+                    ending: if is_unsent { Ending::NotRun } else { Ending::Failed },
+                    is_unsent,
+                    answer: None,
+                    reason: Some(error.to_string().into()),
+                };
+            }
+        };
+        let names = &self.target.gateway.names;
+        if let Some(load) = head::load_figures(&answer.headers, &names.load) {
+            standing.on_load(load, now);
+        }
+        let status = answer.status;
+        let not_run = answer.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
+        let is_signed = answer.headers.contains_key(&names.signature);
+        if not_run {
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                standing.on_failure(now);
+            } else {
+                standing.on_full(now);
+            }
+            return Judged {
+                ending: Ending::NotRun,
+                is_unsent: false,
+                answer: None,
+                reason: Some(format!("status {status}, not run").into()),
+            };
+        }
+        if status.is_success() && is_signed {
+            standing.on_answer(answer.latency, self.usual, now);
+            drop(standing);
+            self.target
+                .pace
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .observe(answer.latency);
+            return Judged {
+                ending: Ending::Answered,
+                is_unsent: false,
+                answer: Some(answer),
+                reason: None,
+            };
+        }
+        // The end of the deadline says nothing about the server.
+        if status != StatusCode::GATEWAY_TIMEOUT {
+            standing.on_error(now);
+        }
+        // A failure with a signature is the answer of a server that works; it is passed on when it is the last word.
+        let is_answer = is_signed && !self.target.is_part && !status.is_success();
+        Judged {
+            ending: Ending::Failed,
+            is_unsent: false,
+            reason: Some(format!("status {status}, signed {is_signed}").into()),
+            answer: is_answer.then_some(answer),
+        }
+    }
+
+    /// Counts the end, and logs it when it is not an answer.
+    fn report(&self, judged: &Judged) {
+        let gateway = &self.target.gateway;
+        let ending = match judged.ending {
+            _ if judged.is_unsent => "unsent",
+            Ending::Answered => "answered",
+            Ending::NotRun => "not_run",
+            Ending::Failed => "failed",
+        };
+        let cause = match self.send.cause {
+            Cause::First => "first",
+            Cause::Hedge => "hedge",
+            Cause::Retry => "retry",
+        };
+        let labels = AttemptLabels { cause, ending };
+        gateway.measures.attempts.get_or_create(&labels).inc();
+        if let Some(reason) = &judged.reason
+            && gateway.lines.allow(&gateway.log, Topic::Trouble)
+        {
+            info!(gateway.log, "attempt"; "id" => self.target.id.to_str().ok(),
+                "server" => &*self.target.server.entry.id, "service" => &*self.target.service, "cause" => cause,
+                "ending" => ending, "reason" => &**reason);
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            let now = Instant::now();
+            let waited = now.saturating_duration_since(self.sent);
+            let mut standing = self.target.server.standing();
+            standing.end(self.number);
+            standing.on_abandoned(waited, self.usual, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/gateway/forwarding.rs
@@ -0,0 +1,380 @@
+//! A request that is forwarded: carries out the decisions of [`Fanout`] and makes the answer.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use http::HeaderValue;
+use http::StatusCode;
+use slog::info;
+
+use crate::connection::upstream::Answer;
+use crate::ids::ServiceId;
+use crate::process::backends::Backend;
+use crate::process::backends::place;
+use crate::process::backends::place::Place;
+use crate::process::gateway::Effective;
+use crate::process::gateway::Gateway;
+use crate::process::gateway::answer;
+use crate::process::gateway::answer::CallerAnswer;
+use crate::process::gateway::answer::PartAnswer;
+use crate::process::gateway::attempt::Attempt;
+use crate::process::gateway::attempt::Attempted;
+use crate::process::gateway::attempt::Ended;
+use crate::process::gateway::head::Outgoing;
+use crate::process::gateway::lines::Topic;
+use crate::process::pace::Pace;
+use crate::process::pace::Summary;
+use crate::request::fanout::Cause;
+use crate::request::fanout::Choice;
+use crate::request::fanout::Ending;
+use crate::request::fanout::Fanout;
+use crate::request::fanout::Lack;
+use crate::request::fanout::Limits;
+use crate::request::fanout::Send;
+use crate::request::fanout::ServerIndex;
+use crate::request::fanout::Verdict;
+use crate::version::routing::Route;
+use crate::version::routing::ShardSet;
+use crate::version::routing::Target;
+
+/// Share of the objective that is taken as the usual latency of a route until enough parts were observed.
+const UNKNOWN_SHARE: f64 = 0.25;
+
+/// Time for which attempts that are no longer needed may go on after the answer. It covers a pause of a server, and saves
+/// the connection; what takes longer is cancelled.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// Time after which a caller that found no room should come back, as a share of the objective. By then the queues of the
+/// servers have moved on.
+const ROOM_RETRY_SHARE: f64 = 0.5;
+
+/// Time after which a caller should come back when a service has no server that can be asked. Failed servers are probed
+/// after 0.25 to 2 s.
+const SERVER_RETRY: Duration = Duration::from_millis(400);
+
+/// Parts of one request whose servers are described in the log. Two missing parts are enough to end most requests.
+const MAX_GIVEN_UP: usize = 3;
+
+/// Request in progress with all that its attempts need.
+pub(super) struct Forwarding {
+    gateway: Arc<Gateway>,
+    effective: Arc<Effective>,
+    route: Arc<Route>,
+    /// Service of each part.
+    services: Vec<ServiceId>,
+    outgoing: Arc<Outgoing>,
+    id: HeaderValue,
+    started: Instant,
+    pace: Arc<Mutex<Pace>>,
+    summary: Option<Summary>,
+    fanout: Fanout,
+    parts: Vec<Option<PartAnswer>>,
+    /// Last answer of a backend server that was not a success.
+    rejected: Option<Answer>,
+    hedges: u32,
+    retries: u32,
+}
+
+impl Forwarding {
+    pub(super) fn new(
+        gateway: &Arc<Gateway>,
+        effective: Arc<Effective>,
+        route: Arc<Route>,
+        outgoing: Outgoing,
+        id: HeaderValue,
+        started: Instant,
+        time_limit: Duration,
+    ) -> Self {
+        let services: Vec<ServiceId> = match &route.target {
+            Target::One(service) => vec![service.clone()],
+            Target::Split(split) => split.deal().cloned().into_iter().collect(),
+            Target::Shards(set) => set.shards.clone(),
+        };
+        let least = match &route.target {
+            Target::Shards(set) => set.least_parts(),
+            Target::One(_) | Target::Split(_) => 1,
+        };
+        for service in &services {
+            let limits = &effective.extra;
+            gateway.with_budget(service, started, |budget| budget.on_request(limits, started));
+        }
+        let limits = Limits {
+            parts: services.len(),
+            least,
+            attempts: route.attempts,
+            repeatable: route.repeatable,
+            objective: route.objective,
+            time_limit,
+        };
+        let pace = gateway.pace(&route.name);
+        let summary = pace.lock().unwrap_or_else(PoisonError::into_inner).summary();
+        Self {
+            gateway: Arc::clone(gateway),
+            effective,
+            parts: vec![None; services.len()],
+            services,
+            outgoing: Arc::new(outgoing),
+            id,
+            started,
+            pace,
+            summary,
+            fanout: Fanout::new(limits, started),
+            rejected: None,
+            hedges: 0,
+            retries: 0,
+            route,
+        }
+    }
+
+    pub(super) async fn run(mut self) -> CallerAnswer {
+        let mut running: FuturesUnordered<BoxFuture<'static, Ended>> = FuturesUnordered::new();
+        let verdict = loop {
+            let now = Instant::now();
+            let sends = self.advance(now);
+            let verdict = self.fanout.verdict(now);
+            self.log_sends(&sends, now);
+            for send in sends {
+                let attempt = self.attempt(send, now);
+                running.push(Box::pin(attempt.run()));
+            }
+            let Verdict::Wait(until) = verdict else {
+                break verdict;
+            };
+            tokio::select! {
+                Some(ended) = running.next(), if !running.is_empty() => self.on_ended(ended),
+                () = tokio::time::sleep_until(until.into()) => {}
+            }
+        };
+        if !running.is_empty() {
+            tokio::spawn(finish_rest(running));
+        }
+        self.answer(verdict)
+    }
+
+    fn advance(&mut self, now: Instant) -> Vec<Send> {
+        let usual = self.usual();
+        let hedge_after = self.summary.map_or(usual, |summary| summary.upper);
+        let objective = self.route.objective;
+        let answer_by = self.started + objective;
+        let gateway = &self.gateway;
+        let services = &self.services;
+        let view = &self.effective.view;
+        let limits = &self.effective.extra;
+        let instances = self.effective.instances;
+        let mut rng = rand::rng();
+        let sends = self.fanout.advance(now, |part, cause, asked| {
+            let service = &services[part];
+            let (server, expected) =
+                match place::best(view.servers(service), asked, usual, objective, instances, now, &mut rng) {
+                    Place::Server(server, expected) => (server, expected),
+                    Place::Full => return Choice::Later,
+                    Place::Nobody => return Choice::Nobody,
+                };
+            if cause != Cause::First {
+                let comes_late = now < answer_by && now + expected > answer_by;
+                if cause == Cause::Hedge && comes_late {
+                    return Choice::Later;
+                }
+                if !gateway.with_budget(service, now, |budget| budget.take(limits, now)) {
+                    gateway.measures.denied.inc();
+                    return if cause == Cause::Hedge {
+                        Choice::Later
+                    } else {
+                        Choice::Nobody
+                    };
+                }
+            }
+            Choice::Send(server, hedge_after)
+        });
+        for send in &sends {
+            match send.cause {
+                Cause::First => {}
+                Cause::Hedge => self.hedges += 1,
+                Cause::Retry => self.retries += 1,
+            }
+        }
+        sends
+    }
+
+    /// Logs where parts are sent, and why they are sent again.
+    fn log_sends(&self, sends: &[Send], now: Instant) {
+        let log = &self.gateway.log;
+        let is_first = |send: &&Send| send.cause == Cause::First;
+        let id = self.id.to_str().ok();
+        if sends.iter().any(|send| is_first(&send)) && self.gateway.lines.allow(log, Topic::Usual) {
+            let placed = sends.iter().filter(is_first).map(|send| {
+                let server = self.server(send.part, send.server);
+                format!("{}:{}", send.part, server.entry.id)
+            });
+            let placed: Vec<String> = placed.collect();
+            info!(log, "placed"; "id" => id, "route" => &*self.route.name,
+                "revision" => self.effective.routing.revision, "usual_ms" => self.usual().as_millis() as u64,
+                "servers" => placed.join(","));
+        }
+        for send in sends.iter().filter(|send| !is_first(send)) {
+            if self.gateway.lines.allow(log, Topic::Trouble) {
+                let server = self.server(send.part, send.server);
+                info!(log, "sent_again"; "id" => id, "part" => send.part, "cause" => ?send.cause,
+                    "server" => &*server.entry.id, "service" => &*self.services[send.part],
+                    "after_ms" => now.saturating_duration_since(self.started).as_millis() as u64);
+            }
+        }
+    }
+
+    fn usual(&self) -> Duration {
+        self.summary
+            .map_or_else(|| self.route.objective.mul_f64(UNKNOWN_SHARE), |summary| summary.median)
+    }
+
+    /// Returns the server of a send.
+    fn server(&self, part: usize, server: ServerIndex) -> Arc<Backend> {
+        Arc::clone(&self.effective.view.servers(&self.services[part])[server])
+    }
+
+    fn attempt(&self, send: Send, now: Instant) -> Attempt {
+        let target = Attempted {
+            gateway: Arc::clone(&self.gateway),
+            server: self.server(send.part, send.server),
+            service: self.services[send.part].clone(),
+            pace: Arc::clone(&self.pace),
+            outgoing: Arc::clone(&self.outgoing),
+            id: self.id.clone(),
+            deadline: self.fanout.end(),
+            limits: self.effective.extra,
+            is_part: matches!(self.route.target, Target::Shards(_)),
+        };
+        Attempt::begin(target, send, self.usual(), self.summary, now)
+    }
+
+    fn on_ended(&mut self, ended: Ended) {
+        let taken = self.fanout.on_end(ended.part, ended.ending, Instant::now());
+        let Some(answer) = ended.answer else { return };
+        if !taken {
+            if ended.ending != Ending::Answered {
+                self.rejected = Some(answer);
+            }
+            return;
+        }
+        if matches!(self.route.target, Target::Shards(_)) {
+            let signature = answer.headers.get(&self.gateway.names.signature).cloned();
+            self.parts[ended.part] = signature.map(|signature| PartAnswer {
+                signature,
+                body: answer.body,
+            });
+        } else {
+            self.rejected = Some(answer);
+        }
+    }
+
+    fn answer(self, verdict: Verdict) -> CallerAnswer {
+        let missing = self.fanout.missing();
+        let (outcome, answer) = match verdict {
+            Verdict::Answer => match &self.route.target {
+                Target::Shards(set) => self.merge(set, missing),
+                Target::One(_) | Target::Split(_) => self.pass("ok"),
+            },
+            Verdict::Refuse(lack) => ("refused", self.refuse(lack)),
+            Verdict::TimeOut => {
+                let text = "the time of the request is over\n";
+                ("timed_out", answer::own(StatusCode::GATEWAY_TIMEOUT, text))
+            }
+            Verdict::Fail(_) | Verdict::Wait(_) if self.rejected.is_some() && self.parts.len() == 1 => {
+                self.pass("passed")
+            }
+            Verdict::Fail(_) | Verdict::Wait(_) => {
+                let text = "the backend servers failed; the request may have run\n";
+                ("failed", answer::own(StatusCode::BAD_GATEWAY, text))
+            }
+        };
+        let elapsed = self.started.elapsed();
+        let service = self.services.first().map_or("", |service| service);
+        self.gateway.measures.record(service, outcome, elapsed);
+        if matches!(verdict, Verdict::Refuse(_) | Verdict::Fail(_)) {
+            self.log_given_up();
+        }
+        let topic = if outcome == "ok" { Topic::Usual } else { Topic::Trouble };
+        if !self.gateway.lines.allow(&self.gateway.log, topic) {
+            return answer;
+        }
+        info!(self.gateway.log, "request"; "id" => self.id.to_str().ok(), "outcome" => outcome,
+            "status" => answer.status().as_u16(), "route" => &*self.route.name,
+            "revision" => self.effective.routing.revision, "read_age_ms" => self.gateway.read_age_ms(),
+            "ms" => elapsed.as_millis() as u64, "lacks" => self.fanout.lacks(),
+            "parts" => self.services.len(), "missing" => missing, "hedges" => self.hedges, "retries" => self.retries,
+            "verdict" => ?verdict);
+        answer
+    }
+
+    /// Logs why parts were given up without an attempt.
+    fn log_given_up(&self) {
+        let log = &self.gateway.log;
+        let now = Instant::now();
+        let unsent = self.fanout.given_up().filter(|(_, lack)| *lack != Lack::Failed);
+        for (part, lack) in unsent.take(MAX_GIVEN_UP) {
+            if !self.gateway.lines.allow(log, Topic::Trouble) {
+                return;
+            }
+            let service = &self.services[part];
+            let servers = self.effective.view.servers(service);
+            let state = place::describe(
+                servers,
+                self.usual(),
+                self.route.objective,
+                self.effective.instances,
+                now,
+            );
+            info!(log, "part_given_up"; "id" => self.id.to_str().ok(), "part" => part, "lack" => ?lack,
+                "service" => &**service, "servers" => state, "instances" => self.effective.instances.all);
+        }
+    }
+
+    fn merge(&self, set: &ShardSet, missing: usize) -> (&'static str, CallerAnswer) {
+        let answer = answer::merged(&self.gateway.names, self.parts.clone(), set.best);
+        (if missing == 0 { "ok" } else { "partial" }, answer)
+    }
+
+    /// Passes the answer of the backend server on. A status that promises that the request has not run must not be
+    /// passed on when the server did not say so.
+    fn pass(&self, outcome: &'static str) -> (&'static str, CallerAnswer) {
+        let Some(answer) = &self.rejected else {
+            return (
+                "failed",
+                answer::own(StatusCode::BAD_GATEWAY, "the answer is missing\n"),
+            );
+        };
+        let promises = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+        if promises {
+            let text = "the backend server failed; the request may have run\n";
+            return ("failed", answer::own(StatusCode::BAD_GATEWAY, text));
+        }
+        let body: Bytes = answer.body.clone();
+        (outcome, answer::passed(answer.status, answer.headers.clone(), body))
+    }
+
+    fn refuse(&self, lack: Lack) -> CallerAnswer {
+        match lack {
+            Lack::NoRoom => {
+                let after = self.route.objective.mul_f64(ROOM_RETRY_SHARE);
+                answer::not_run("all backend servers are busy\n", after)
+            }
+            Lack::NoServer | Lack::Failed => answer::not_run(
+                "no backend server can be asked; the request has not run\n",
+                SERVER_RETRY,
+            ),
+        }
+    }
+}
+
+/// Lets attempts that are no longer needed end by themselves for a while, for the sake of their connections and of what
+/// they show about their servers.
+async fn finish_rest(mut running: FuturesUnordered<BoxFuture<'static, Ended>>) {
+    let rest = async { while running.next().await.is_some() {} };
+    let _cancelled = tokio::time::timeout(LINGER, rest).await;
+}
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -179,6 +179,25 @@
     assert_eq!(best(&view, &[1, 2], later), Place::Nobody);
 }
 
+/// Load pattern: a server fails half of its requests at once and looks idle. Guards against requests that it draws, and
+/// against one that is never asked again after it recovered.
+#[test]
+fn a_server_that_fails_fast_is_passed_over_until_it_may_have_recovered() {
+    let now = Instant::now();
+    let view = three(now);
+    for round in 0..10 {
+        let mut near = view.servers("shard")[0].standing();
+        if round % 2 == 0 {
+            near.on_answer(ms(20), Some(USUAL), now);
+        } else {
+            near.on_error(now);
+        }
+    }
+    assert!(matches!(best(&view, &[], now), Place::Server(1 | 2, _)));
+    let later = now + Duration::from_secs(10);
+    assert!(matches!(best(&view, &[], later), Place::Server(0, _)));
+}
+
 /// Load pattern: a silent server. Guards against one that is asked again and again because requests that were given up
 /// leave no trace.
 #[test]
