catalogue: waits of 2.5 s again, since a read that the store lost was noticed too late

Cause: a process that was resumed while the store was silent sent its read into the silence and went on with the old version for 6.2 s after the store was back; changes have to be in effect 4 s after.

--- a/crates/gateway-soak/src/callers.rs
+++ b/crates/gateway-soak/src/callers.rs
@@ -168,8 +168,8 @@
 
 /// Asks every process for every kind of request, after the faults have ended.
 pub async fn calm(fleet: &Fleet) -> Vec<Record> {
-    // Servers that failed are left alone for up to 2 s, lapsed entries are judged after 2 s, and a wait for changes on a
-    // connection that fell silent ends within 3.7 s.
+    // Servers that failed are left alone for up to 2 s, lapsed entries are judged after 2 s, and a read that the store
+    // lost ends within 3.7 s.
     tokio::time::sleep(Duration::from_secs(5)).await;
     let mut records = Vec::new();
     for round in 0..CALM_ROUNDS {
--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -20,16 +20,16 @@
 use crate::process::gateway::Gateway;
 use crate::version::routing::Routing;
 
-/// Time for which a read waits for changes. A read whose answer is lost ends about 6 s after it began, which must lie
-/// below the time until the platform counts as stable again (4 s) and a change has to be in effect (3 s).
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time for which a read waits for changes. A read that the platform lost ends when this time and the time for an answer
+/// are over; by then the platform must not count as stable again (4 s), since every change has to be in effect then.
+pub const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
 /// Pause between a change and the next read. Changes come in series, as when servers join or report that they are still
 /// cold, and each read is paid for. It lies well below the times in which a change has to be in effect (3 s).
 const CHANGE_PAUSE: Duration = Duration::from_millis(1000);
 
 /// First pause after a failed read. It doubles with each further failure.
-const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+pub const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 
 /// Longest pause after failed reads; a platform that returns must be noticed within the time in which a change has to be
 /// in effect.
