place: a quarter of the places at a server is kept for more urgent routes

Cause: routine requests could take every place at a server, so urgent ones waited behind them when all servers were busy. The test fills all servers with routine requests; it fails without the change.

--- a/src/process/backends/place.rs
+++ b/src/process/backends/place.rs
@@ -25,6 +25,23 @@
 /// same do not all choose the same server.
 const BLUR: f64 = 0.1;
 
+/// Share of the places at a server that routes may take while another route to its service is more urgent. The rest is
+/// kept free, so that urgent requests find room when all others wait.
+const OUTRANKED_SHARE: f64 = 0.75;
+
+/// What an attempt needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// Usual latency of the route.
+    pub usual: Duration,
+    /// Time within which the answer has its full value.
+    pub objective: Duration,
+    /// Whether another route to the service is more urgent.
+    pub is_outranked: bool,
+    /// Number of instances.
+    pub instances: Count,
+}
+
 /// Standing of the best server for an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Place {
@@ -42,12 +59,11 @@
 pub fn best(
     servers: &[Arc<Backend>],
     asked: &[ServerIndex],
-    usual: Duration,
-    objective: Duration,
-    instances: Count,
+    wanted: Wanted,
     now: Instant,
     rng: &mut impl Rng,
 ) -> Place {
+    let Wanted { usual, objective, .. } = wanted;
     let mut best: Option<(Duration, ServerIndex, Duration)> = None;
     let mut full = false;
     for (ix, server) in servers.iter().enumerate() {
@@ -59,13 +75,7 @@
         if standing.is_avoided(now) || (standing.is_doubtful() && standing.in_flight() > 0) {
             continue;
         }
-        // Most requests to a server come from the instances of its data centre.
-        let sharers = if server.is_local {
-            instances.local
-        } else {
-            instances.all
-        };
-        let limit = standing.flight_limit(usual, objective, sharers, now);
+        let limit = flight_limit(server, &standing, wanted, now);
         if standing.in_flight() >= limit || !server.pool.has_room() {
             full = true;
             continue;
@@ -90,16 +100,10 @@
 /// Describes why servers take no attempt, for the log: for each its name, the requests in flight and their limit, and
 /// `avoided` after a failure or `no_connection` when all connections are in use.
 #[must_use]
-pub fn describe(
-    servers: &[Arc<Backend>],
-    usual: Duration,
-    objective: Duration,
-    instances: Count,
-    now: Instant,
-) -> String {
+pub fn describe(servers: &[Arc<Backend>], wanted: Wanted, now: Instant) -> String {
     let described = servers.iter().map(|server| {
         let standing = server.standing();
-        let limit = flight_limit(server, &standing, usual, objective, instances, now);
+        let limit = flight_limit(server, &standing, wanted, now);
         let state = match (standing.is_avoided(now), server.pool.has_room()) {
             (true, _) => " avoided",
             (false, false) => " no_connection",
@@ -112,18 +116,17 @@
 
 /// Returns the requests that this instance may have in flight at a server. Most requests to a server come from the
 /// instances of its data centre.
-fn flight_limit(
-    server: &Backend,
-    standing: &Standing,
-    usual: Duration,
-    objective: Duration,
-    instances: Count,
-    now: Instant,
-) -> usize {
+fn flight_limit(server: &Backend, standing: &Standing, wanted: Wanted, now: Instant) -> usize {
+    let instances = wanted.instances;
     let sharers = if server.is_local {
         instances.local
     } else {
         instances.all
     };
-    standing.flight_limit(usual, objective, sharers, now)
+    let limit = standing.flight_limit(wanted.usual, wanted.objective, sharers, now);
+    if wanted.is_outranked {
+        ((limit as f64 * OUTRANKED_SHARE) as usize).max(1)
+    } else {
+        limit
+    }
 }
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -19,6 +19,7 @@
 use crate::process::backends::Backend;
 use crate::process::backends::place;
 use crate::process::backends::place::Place;
+use crate::process::backends::place::Wanted;
 use crate::process::gateway::Effective;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::answer;
@@ -167,16 +168,15 @@
         let services = &self.services;
         let view = &self.effective.view;
         let limits = &self.effective.extra;
-        let instances = self.effective.instances;
+        let wanted: Vec<Wanted> = (0..services.len()).map(|part| self.wanted(part)).collect();
         let mut rng = rand::rng();
         let sends = self.fanout.advance(now, |part, cause, asked| {
             let service = &services[part];
-            let (server, expected) =
-                match place::best(view.servers(service), asked, usual, objective, instances, now, &mut rng) {
-                    Place::Server(server, expected) => (server, expected),
-                    Place::Full => return Choice::Later,
-                    Place::Nobody => return Choice::Nobody,
-                };
+            let (server, expected) = match place::best(view.servers(service), asked, wanted[part], now, &mut rng) {
+                Place::Server(server, expected) => (server, expected),
+                Place::Full => return Choice::Later,
+                Place::Nobody => return Choice::Nobody,
+            };
             if cause != Cause::First {
                 let comes_late = now < answer_by && now + expected > answer_by;
                 if cause == Cause::Hedge && comes_late {
@@ -228,6 +228,15 @@
         }
     }
 
+    fn wanted(&self, part: usize) -> Wanted {
+        Wanted {
+            usual: self.usual(),
+            objective: self.route.objective,
+            is_outranked: self.effective.routing.is_outranked(&self.route, &self.services[part]),
+            instances: self.effective.instances,
+        }
+    }
+
     fn usual(&self) -> Duration {
         self.summary
             .map_or_else(|| self.route.objective.mul_f64(UNKNOWN_SHARE), |summary| summary.median)
@@ -323,13 +332,7 @@
             }
             let service = &self.services[part];
             let servers = self.effective.view.servers(service);
-            let state = place::describe(
-                servers,
-                self.usual(),
-                self.route.objective,
-                self.effective.instances,
-                now,
-            );
+            let state = place::describe(servers, self.wanted(part), now);
             info!(log, "part_given_up"; "id" => self.id.to_str().ok(), "part" => part, "lack" => ?lack,
                 "service" => &**service, "servers" => state, "instances" => self.effective.instances.all);
         }
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -26,6 +26,8 @@
     pub limits: CallerLimits,
     /// Services by name.
     pub services: IndexMap<ServiceId, ServiceLimits>,
+    /// Rank of the most urgent route to each service.
+    ranks: IndexMap<ServiceId, u32>,
     /// Routes of each host, those with the longest prefix first.
     hosts: IndexMap<Box<str>, Vec<Arc<Route>>>,
 }
@@ -91,6 +93,19 @@
     Shards(ShardSet),
 }
 
+impl Target {
+    /// Returns all services that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let (one, split, shards) = match self {
+            Self::One(service) => (Some(service), None, None),
+            Self::Split(split) => (None, Some(split.shares.iter().map(|(service, _)| service)), None),
+            Self::Shards(set) => (None, None, Some(set.shards.iter())),
+        };
+        let split = split.into_iter().flatten();
+        one.into_iter().chain(split).chain(shards.into_iter().flatten())
+    }
+}
+
 /// Services that share the requests of a route by weight.
 #[derive(Debug)]
 pub struct Split {
@@ -158,7 +173,12 @@
         routes: Vec<(Box<str>, Route)>,
     ) -> Self {
         let mut hosts: IndexMap<Box<str>, Vec<Arc<Route>>> = IndexMap::new();
+        let mut ranks: IndexMap<ServiceId, u32> = IndexMap::new();
         for (host, route) in routes {
+            for service in route.target.services() {
+                let rank = ranks.entry(service.clone()).or_insert(route.rank);
+                *rank = route.rank.min(*rank);
+            }
             let host = host.to_ascii_lowercase().into_boxed_str();
             hosts.entry(host).or_default().push(Arc::new(route));
         }
@@ -169,10 +189,17 @@
             revision,
             limits,
             services,
+            ranks,
             hosts,
         }
     }
 
+    /// Tells whether another route to the service is more urgent than `route`.
+    #[must_use]
+    pub fn is_outranked(&self, route: &Route, service: &str) -> bool {
+        self.ranks.get(service).is_some_and(|rank| *rank < route.rank)
+    }
+
     /// Returns the route with the longest prefix that begins `path`. A port in `host` is ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -10,6 +10,7 @@
 use pimentoflow::process::backends::View;
 use pimentoflow::process::backends::place;
 use pimentoflow::process::backends::place::Place;
+use pimentoflow::process::backends::place::Wanted;
 use pimentoflow::process::backends::standing::LoadFigures;
 use pimentoflow::process::backends::standing::Standing;
 use pimentoflow::process::census::Count;
@@ -21,6 +22,15 @@
 
 const ALONE: Count = Count { all: 1, local: 1 };
 
+const fn wanted(instances: Count) -> Wanted {
+    Wanted {
+        usual: USUAL,
+        objective: OBJECTIVE,
+        is_outranked: false,
+        instances,
+    }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -54,7 +64,7 @@
 
 fn best(view: &View, asked: &[usize], now: Instant) -> Place {
     let mut rng = SmallRng::seed_from_u64(1);
-    place::best(view.servers("shard"), asked, USUAL, OBJECTIVE, ALONE, now, &mut rng)
+    place::best(view.servers("shard"), asked, wanted(ALONE), now, &mut rng)
 }
 
 /// Guards against requests to a server that is leaving, and one that left.
@@ -237,7 +247,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut flights = [0, 0];
     loop {
-        let place = place::best(view.servers("shard"), &[], USUAL, OBJECTIVE, instances, now, &mut rng);
+        let place = place::best(view.servers("shard"), &[], wanted(instances), now, &mut rng);
         let Place::Server(ix, expected) = place else { break };
         view.servers("shard")[ix].standing().begin(expected, now);
         flights[ix] += 1;
@@ -246,6 +256,22 @@
     assert_eq!(flights, [3, 1]);
 }
 
+/// Load pattern: routine requests fill every server of a service. Guards against urgent requests that find no room then.
+#[test]
+fn urgent_requests_find_room_when_routine_ones_wait() {
+    let now = Instant::now();
+    let view = three(now);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let routine = Wanted {
+        is_outranked: true,
+        ..wanted(ALONE)
+    };
+    while let Place::Server(ix, expected) = place::best(view.servers("shard"), &[], routine, now, &mut rng) {
+        view.servers("shard")[ix].standing().begin(expected, now);
+    }
+    assert!(matches!(best(&view, &[], now), Place::Server(..)));
+}
+
 /// Guards against load figures that are believed long after they came, and against own requests that are counted twice.
 #[test]
 fn load_figures_of_others_count_while_they_are_fresh() {
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -45,6 +45,27 @@
     assert_eq!(name("two.example", "/a/b/").as_deref(), Some("root"));
 }
 
+/// Guards against an urgent route that is held back, and a routine one that is not, by routes to other services.
+#[test]
+fn a_route_is_outranked_only_at_a_service_of_a_more_urgent_one() {
+    let ranked = |name: &str, rank: u32, service: &str| Route {
+        rank,
+        target: Target::One(service.into()),
+        ..route(name, &format!("/{name}/"))
+    };
+    let routes = [
+        ranked("urgent", 0, "a"),
+        ranked("routine", 2, "a"),
+        ranked("alone", 2, "b"),
+    ];
+    let routes = routes.into_iter().map(|route| ("h".into(), route)).collect();
+    let routing = Routing::new(1, CallerLimits::default(), IndexMap::new(), routes);
+    let outranked = |path: &str, service: &str| routing.is_outranked(routing.find("h", path).unwrap(), service);
+    assert!(!outranked("/urgent/", "a"));
+    assert!(outranked("/routine/", "a"));
+    assert!(!outranked("/alone/", "b"));
+}
+
 /// Guards against shares that miss their weights by more than a hundredth after 300 requests, and against requests to a
 /// service of weight 0.
 #[test]
