fanout: a request that was never sent in its time is refused, not timed out

Cause: with a short time left the end came before the wait for room was over, and 504 leaves open whether the request ran. The new test fails without the change.

--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -333,9 +333,9 @@
         if open == 0 && enough {
             return Verdict::Answer;
         }
+        let may_have_run = self.done > 0 || self.parts.iter().any(|part| part.live > 0 || part.ran > 0);
         if self.is_hopeless() {
-            let ran = self.parts.iter().any(|part| part.live > 0 || part.ran > 0) || self.done > 0;
-            return if ran {
+            return if may_have_run {
                 Verdict::Fail(self.lack)
             } else {
                 Verdict::Refuse(self.lack)
@@ -345,7 +345,11 @@
             return Verdict::Answer;
         }
         if now >= self.end {
-            return Verdict::TimeOut;
+            return if may_have_run {
+                Verdict::TimeOut
+            } else {
+                Verdict::Refuse(Lack::NoRoom)
+            };
         }
         let next = if enough { self.answer_by } else { self.end };
         let waiting = self.parts.iter().filter(|part| part.state == State::Open);
--- a/tests/testsuite/fanout.rs
+++ b/tests/testsuite/fanout.rs
@@ -226,6 +226,21 @@
     assert_eq!(fanout.verdict(fanout.end()), Verdict::TimeOut);
 }
 
+/// Guards against an answer that leaves open whether a request ran that was never sent.
+#[test]
+fn a_request_that_was_never_sent_in_its_time_has_not_run() {
+    let now = Instant::now();
+    let limits = Limits {
+        time_limit: ms(20),
+        ..search()
+    };
+    let mut fanout = Fanout::new(limits, now);
+    fanout.advance(now, |_, _, _| Choice::Later);
+    let end = fanout.end();
+    fanout.advance(end, |_, _, _| Choice::Later);
+    assert_eq!(fanout.verdict(end), Verdict::Refuse(Lack::NoRoom));
+}
+
 /// Guards against more attempts that may have run than the route allows, whatever the order of events, and against counts
 /// that go wrong.
 #[test]
