--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -26,6 +26,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -321,6 +322,7 @@
                 }
                 info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
                     "routes" => routing.len(), "services" => routing.services.len());
+                self.forget_unused(&routing);
                 known.routing = Some(Arc::from(routing));
                 true
             }
@@ -343,6 +345,14 @@
         }
     }
 
+    /// Forgets the latencies of routes that the new version does not name, so that versions in series do not fill the
+    /// memory. Budgets of services stay, since their windows go on.
+    fn forget_unused(&self, routing: &Routing) {
+        let names: IndexSet<&str> = routing.routes().map(|route| &*route.name).collect();
+        let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        paces.retain(|name, _| names.contains(&**name));
+    }
+
     /// Logs what changed for a server, and tells whether requests see it.
     fn note(&self, server: &str, effect: Effect) -> bool {
         let event = match effect {
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -77,8 +77,8 @@
     summary: Option<Summary>,
     fanout: Fanout,
     parts: Vec<Option<PartAnswer>>,
-    /// Last answer of a backend server that was not a success.
-    rejected: Option<Answer>,
+    /// Last answer of a backend server that can be passed on whole.
+    passable: Option<Answer>,
     hedges: u32,
     retries: u32,
 }
@@ -127,7 +127,7 @@
             pace,
             summary,
             fanout: Fanout::new(limits, started),
-            rejected: None,
+            passable: None,
             hedges: 0,
             retries: 0,
             route,
@@ -267,7 +267,7 @@
         let Some(answer) = ended.answer else { return };
         if !taken {
             if ended.ending != Ending::Answered {
-                self.rejected = Some(answer);
+                self.passable = Some(answer);
             }
             return;
         }
@@ -278,7 +278,7 @@
                 body: answer.body,
             });
         } else {
-            self.rejected = Some(answer);
+            self.passable = Some(answer);
         }
     }
 
@@ -294,7 +294,7 @@
                 let text = "the time of the request is over\n";
                 ("timed_out", answer::own(StatusCode::GATEWAY_TIMEOUT, text))
             }
-            Verdict::Fail(_) | Verdict::Wait(_) if self.rejected.is_some() && self.parts.len() == 1 => {
+            Verdict::Fail(_) | Verdict::Wait(_) if self.passable.is_some() && self.parts.len() == 1 => {
                 self.pass("passed")
             }
             Verdict::Fail(_) | Verdict::Wait(_) => {
@@ -346,7 +346,7 @@
     /// Passes the answer of the backend server on. A status that promises that the request has not run must not be
     /// passed on when the server did not say so.
     fn pass(&self, outcome: &'static str) -> (&'static str, CallerAnswer) {
-        let Some(answer) = &self.rejected else {
+        let Some(answer) = &self.passable else {
             return (
                 "failed",
                 answer::own(StatusCode::BAD_GATEWAY, "the answer is missing\n"),
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -211,6 +211,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
