--- a/crates/gateway-soak/src/check.rs
+++ b/crates/gateway-soak/src/check.rs
@@ -23,6 +23,13 @@
 }
 
 impl Findings {
+    /// Returns the findings of a run that did not come to its checks.
+    pub fn of_error(error: &eyre::Report) -> Self {
+        let mut findings = Self::default();
+        findings.add("run", &format!("{error:#}"));
+        findings
+    }
+
     pub fn all(&self) -> &[String] {
         &self.broken
     }
--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use eyre::bail;
 use eyre::ensure;
 use platform_standin::Server;
 use platform_standin::Store;
@@ -37,6 +38,9 @@
 /// Parts that an answer over shards needs at least.
 pub const LEAST: usize = 3;
 
+/// Addresses of one process.
+const ADDRESSES: usize = 4;
+
 /// Longest wait until all processes are ready. Only a failure reaches it.
 const READY_LIMIT: Duration = Duration::from_secs(60);
 
@@ -94,10 +98,10 @@
             fleet.add_backend("one", &format!("i-one{single}")).await?;
         }
         fleet.next_version();
-        let ports: Vec<SocketAddr> = (0..settings.gateways).map(|_| free_address()).collect::<Result<_>>()?;
-        for number in 0..settings.gateways {
-            let seeds = ports.iter().copied().take(3).collect();
-            fleet.add_process(number, ports[number], seeds).await?;
+        let addresses = free_addresses(settings.gateways * ADDRESSES)?;
+        let seeds: Vec<SocketAddr> = addresses.iter().copied().step_by(ADDRESSES).take(3).collect();
+        for (number, own) in addresses.chunks_exact(ADDRESSES).enumerate() {
+            fleet.add_process(number, own, &seeds).await?;
         }
         Ok(fleet)
     }
@@ -152,12 +156,14 @@
         self.store.put("op/config", &config);
     }
 
-    async fn add_process(&mut self, number: usize, peers: SocketAddr, seeds: Vec<SocketAddr>) -> Result<()> {
+    /// Starts a process with the addresses for peers, callers, readiness and metrics.
+    async fn add_process(&mut self, number: usize, own: &[SocketAddr], seeds: &[SocketAddr]) -> Result<()> {
         let name = format!("gateway-{number}");
         let store = Proxy::start(self.store.address).await?;
-        let callers = free_address()?;
-        let readiness = free_address()?;
-        let metrics = free_address()?.port();
+        let [peers, callers, readiness, metrics] = *own else {
+            bail!("{} addresses for a process that needs {ADDRESSES}", own.len());
+        };
+        let metrics = metrics.port();
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let content = json!({
             "NodeName": name, "Zone": "here", "Zones": {"here": "region"}, "InternalPorts": [metrics, metrics],
@@ -260,8 +266,12 @@
     record
 }
 
-fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// Returns addresses that are free. All are held until the last one is chosen, so that none is given out twice.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
+    let listeners: Vec<TcpListener> = listeners.collect::<Result<_, _>>()?;
+    let addresses = listeners.iter().map(TcpListener::local_addr);
+    Ok(addresses.collect::<Result<_, _>>()?)
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -65,7 +65,8 @@
             seed,
             plant: flags.plant.as_deref().map(Into::into),
         };
-        let findings = runtime.block_on(run(&settings))?;
+        let findings = runtime.block_on(run(&settings));
+        let findings = findings.unwrap_or_else(|error| Findings::of_error(&error));
         println!("seed {seed}: {}", findings.summary());
         for finding in findings.all() {
             println!("  {finding}");
