--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use eyre::ensure;
 use platform_standin::Server;
 use platform_standin::Store;
+use rand::Rng;
 use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -41,6 +43,13 @@
 /// Addresses of one process.
 const ADDRESSES: usize = 4;
 
+/// Ports for the processes. They lie below those that the system gives to outgoing connections, so that none is taken
+/// while a process is down.
+const PORTS: Range<u16> = 12_000..32_000;
+
+/// Tries to find free ports.
+const MAX_TRIES: usize = 1_000;
+
 /// Longest wait until all processes are ready. Only a failure reaches it.
 const READY_LIMIT: Duration = Duration::from_secs(60);
 
@@ -268,9 +277,19 @@
 
 /// Returns addresses that are free. All are held until the last one is chosen, so that none is given out twice.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners: Vec<TcpListener> = listeners.collect::<Result<_, _>>()?;
-    let addresses = listeners.iter().map(TcpListener::local_addr);
+    let mut rng = rand::rng();
+    let mut held = Vec::new();
+    for _ in 0..MAX_TRIES {
+        if held.len() == count {
+            break;
+        }
+        // A port that is taken is passed over.
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", rng.random_range(PORTS))) {
+            held.push(listener);
+        }
+    }
+    ensure!(held.len() == count, "no {count} free ports in {PORTS:?}");
+    let addresses = held.iter().map(TcpListener::local_addr);
     Ok(addresses.collect::<Result<_, _>>()?)
 }
 
