catalogue: full answers are followed at once, and old views judge nothing

Cause: an answer of the store holds at most 500 changes and was followed by a pause of 2 s, so instances fell behind when many entries changed, and judged lapsed entries from a view that was seconds old. A listing that ended after another instance had told a later state replaced that state while the position stayed.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -83,6 +83,11 @@
 }
 
 impl View {
+    /// Returns the services that have servers.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
     /// Returns the servers of a service that may be asked.
     #[must_use]
     pub fn servers(&self, service: &str) -> &[Arc<Backend>] {
@@ -120,7 +125,7 @@
 pub struct Directory {
     data_centre: DataCentreId,
     servers: IndexMap<SearcherId, Known>,
-    /// Time until which a missing entry may still come back; `None` while the platform is well.
+    /// Time until which a missing entry may still come back; `None` when all that lapsed were judged.
     doubtful_until: Option<Instant>,
     /// Whether the platform cannot be read now.
     is_cut: bool,
@@ -149,7 +154,8 @@
         self.is_cut = true;
     }
 
-    /// Takes that a read of the platform succeeded. After a loss, missing entries count as lapsed for [`LAPSE_GRACE`].
+    /// Takes that a read of the platform succeeded. After a loss, missing entries count as lapsed until
+    /// [`Directory::on_caught_up`] judges them.
     pub fn on_platform_read(&mut self, now: Instant) {
         if self.is_cut {
             self.is_cut = false;
@@ -194,8 +200,8 @@
     }
 
     /// Takes that the entry of a server is missing.
-    pub fn on_missing(&mut self, id: &str, now: Instant) -> Effect {
-        let doubtful = self.is_cut || self.doubtful_until.is_some_and(|until| now < until);
+    pub fn on_missing(&mut self, id: &str) -> Effect {
+        let doubtful = self.is_cut || self.doubtful_until.is_some();
         let Some(known) = self.servers.get_mut(id) else {
             return Effect::Unchanged;
         };
@@ -215,27 +221,34 @@
         }
     }
 
+    /// Returns a server that is known.
+    #[must_use]
+    pub fn backend(&self, id: &str) -> Option<Arc<Backend>> {
+        self.servers.get(id).map(|known| Arc::clone(&known.backend))
+    }
+
     /// Returns the names of the servers that are known.
     pub fn ids(&self) -> impl Iterator<Item = &SearcherId> {
         self.servers.keys()
     }
 
-    /// Returns the time at which lapsed entries have to be judged.
+    /// Returns the time until which entries that lapsed may still come back; `None` while none is in doubt.
     #[must_use]
-    pub const fn next_wakeup(&self) -> Option<Instant> {
+    pub const fn doubtful_until(&self) -> Option<Instant> {
         if self.is_cut { None } else { self.doubtful_until }
     }
 
-    /// Removes servers whose entries did not come back in time, and returns their names.
-    pub fn on_tick(&mut self, now: Instant) -> Vec<SearcherId> {
-        if self.is_cut || self.doubtful_until.is_none_or(|until| now < until) {
+    /// Takes that everything is known that the platform held at the time `as_of`. Removes the servers whose entries did
+    /// not come back in time, and returns them. A view from before the end of that time says nothing of them.
+    pub fn on_caught_up(&mut self, as_of: Instant) -> Vec<Arc<Backend>> {
+        if self.is_cut || self.doubtful_until.is_none_or(|until| as_of < until) {
             return Vec::new();
         }
         self.doubtful_until = None;
         let lapsed = self.servers.iter().filter(|(_, known)| known.lapsed);
-        let gone: Vec<SearcherId> = lapsed.map(|(id, _)| id.clone()).collect();
-        for id in &gone {
-            self.servers.shift_remove(id);
+        let gone: Vec<Arc<Backend>> = lapsed.map(|(_, known)| Arc::clone(&known.backend)).collect();
+        for backend in &gone {
+            self.servers.shift_remove(&backend.entry.id);
         }
         gone
     }
--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -5,7 +5,9 @@
 //! with what it knows. See "Reading the platform" in `docs/design/platform.md`.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use indexmap::IndexSet;
@@ -24,6 +26,12 @@
 /// stable.
 const ANSWER_RESERVE: Duration = Duration::from_millis(1500);
 
+/// Least wait that is asked for when the time to wait for is over.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
+/// Time behind the platform from which it is logged.
+const LAG_LOGGED: Duration = Duration::from_secs(1);
+
 /// Least time for which a read waits for changes. Less would cost more reads than the platform should serve.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 
@@ -66,6 +74,25 @@
     pub fn change_pause(self) -> Duration {
         self.effect.mul_f64(PAUSE_SHARE).min(PAUSE_MAX)
     }
+
+    /// Returns the wait of a read that begins now. While missing entries are in doubt until `doubtful`, the read ends no
+    /// later, so that one that shows which entries came back follows at once.
+    #[must_use]
+    pub fn wait(self, doubtful: Option<Instant>, now: Instant) -> Duration {
+        let until = |doubtful: Instant| doubtful.saturating_duration_since(now).max(LEAST_WAIT);
+        doubtful.map_or(self.read_wait(), |doubtful| self.read_wait().min(until(doubtful)))
+    }
+
+    /// Returns the pause after a read. An answer with a part of the changes has none: each answer holds a bounded number,
+    /// so an instance that paused after each would fall behind as soon as changes come faster.
+    #[must_use]
+    pub fn pause(self, outcome: ReadOutcome, doubtful: Option<Instant>, now: Instant) -> Duration {
+        if outcome != ReadOutcome::News {
+            return Duration::ZERO;
+        }
+        let until = |doubtful: Instant| doubtful.saturating_duration_since(now);
+        doubtful.map_or(self.change_pause(), |doubtful| self.change_pause().min(until(doubtful)))
+    }
 }
 
 /// Position in the changes of the platform.
@@ -107,6 +134,40 @@
     pub changes: Vec<Change>,
     /// Position after them.
     pub position: Position,
+    /// Whether the platform held nothing beyond them when it answered.
+    pub is_complete: bool,
+}
+
+impl Changes {
+    /// Returns what the read says of the time until the next one.
+    #[must_use]
+    pub fn outcome(&self) -> ReadOutcome {
+        match (self.is_complete, self.changes.is_empty()) {
+            (false, _) => ReadOutcome::Behind,
+            (true, false) => ReadOutcome::News,
+            (true, true) => ReadOutcome::Quiet,
+        }
+    }
+}
+
+/// What a read says of the time until the next one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// The platform holds more changes already.
+    Behind,
+    /// All changes so far have been read.
+    News,
+    /// Nothing changed.
+    Quiet,
+}
+
+/// What a read covers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extent {
+    /// All that the platform holds.
+    Whole,
+    /// The changes since the read before.
+    Changes,
 }
 
 /// Decodes a value; `None` when it does not concern the product.
@@ -150,18 +211,49 @@
     ) -> impl Future<Output = Result<Changes, ReadError>> + Send;
 }
 
+/// Time since which an instance has followed changes without reaching the newest one.
+#[derive(Debug, Default)]
+struct Lag {
+    since: Option<Instant>,
+    is_logged: bool,
+}
+
+impl Lag {
+    /// Takes a read that began at `begun`.
+    fn on_read(&mut self, gateway: &Gateway, read: &Changes, begun: Instant) {
+        if read.is_complete {
+            if self.is_logged {
+                info!(gateway.log, "platform_caught_up"; "position" => read.position);
+            }
+            *self = Self::default();
+        } else {
+            let lag = self.since.get_or_insert(begun).elapsed();
+            if lag > LAG_LOGGED && !self.is_logged {
+                self.is_logged = true;
+                warn!(gateway.log, "platform_behind"; "position" => read.position, "ms" => lag.as_millis() as u64);
+            }
+        }
+        let lag = self.since.map_or(Duration::ZERO, |since| since.elapsed());
+        gateway.measures.platform_lag.set(lag.as_secs_f64());
+    }
+}
+
 /// Follows the platform until the process ends.
-pub async fn run(mut catalogue: impl Catalogue, gateway: std::sync::Arc<Gateway>, mut rng: SmallRng) {
+pub async fn run(mut catalogue: impl Catalogue, gateway: Arc<Gateway>, mut rng: SmallRng) {
     let freshness = gateway.settings.freshness;
     let mut failures = 0_u32;
     let mut is_forgotten = false;
+    let mut lag = Lag::default();
     loop {
         // Another instance may have told what happened while the platform could not be read here.
         let position = gateway.position().filter(|_| !is_forgotten);
-        let whole = position.is_none();
-        let read = match position {
-            None => catalogue.read_all().await,
-            Some(position) => catalogue.read_changes(position, freshness.read_wait()).await,
+        let begun = Instant::now();
+        let (extent, read) = match position {
+            None => (Extent::Whole, catalogue.read_all().await),
+            Some(position) => {
+                let wait = freshness.wait(gateway.doubtful_until(), begun);
+                (Extent::Changes, catalogue.read_changes(position, wait).await)
+            }
         };
         match read {
             Ok(read) => {
@@ -170,12 +262,10 @@
                 }
                 failures = 0;
                 is_forgotten = false;
-                let pause = if read.changes.is_empty() {
-                    Duration::ZERO
-                } else {
-                    freshness.change_pause()
-                };
-                gateway.on_platform_read(read.changes, read.position, whole);
+                lag.on_read(&gateway, &read, begun);
+                let outcome = read.outcome();
+                gateway.on_platform_read(read, extent, begun);
+                let pause = freshness.pause(outcome, gateway.doubtful_until(), Instant::now());
                 tokio::time::sleep(pause).await;
             }
             Err(ReadError::Forgotten) => {
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -41,12 +41,15 @@
 
 use crate::ids::ServiceId;
 use crate::process::admin::Readiness;
+use crate::process::backends::BackendEntry;
 use crate::process::backends::Directory;
 use crate::process::backends::Effect;
 use crate::process::backends::View;
 use crate::process::catalogue;
 use crate::process::catalogue::Change;
+use crate::process::catalogue::Changes;
 use crate::process::catalogue::Decoder;
+use crate::process::catalogue::Extent;
 use crate::process::catalogue::Item;
 use crate::process::catalogue::Position;
 use crate::process::census::Census;
@@ -194,13 +197,26 @@
         }
     }
 
-    /// Takes what was read from the platform up to `position`. `whole` tells that it is all there is.
-    pub fn on_platform_read(&self, changes: Vec<Change>, position: Position, whole: bool) {
+    /// Takes what a read of the platform that began at `begun` brought. An answer that is older than what another instance
+    /// has told meanwhile is dropped: it would undo changes that are not read again.
+    pub fn on_platform_read(&self, read: Changes, extent: Extent, begun: Instant) {
         let now = Instant::now();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_read(now);
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
-        self.apply(&mut known, changes, position, whole, now);
+        if known.position.is_some_and(|own| read.position < own) {
+            info!(self.log, "platform_read_outdated"; "position" => read.position, "known" => known.position);
+            return;
+        }
+        let mut changed = self.apply(&mut known, read.changes, read.position, extent, now);
+        if read.is_complete {
+            for gone in known.directory.on_caught_up(begun) {
+                changed |= self.note(&gone.entry, Effect::Gone);
+            }
+        }
+        if changed {
+            self.put_in_effect(&known);
+        }
     }
 
     /// Takes what another instance has read up to `position`, which is all there is. It counts while this instance cannot
@@ -213,18 +229,21 @@
             return;
         }
         info!(self.log, "platform_relayed"; "position" => position, "before" => known.position, "values" => changes.len());
-        self.apply(&mut known, changes, position, true, now);
+        if self.apply(&mut known, changes, position, Extent::Whole, now) {
+            self.put_in_effect(&known);
+        }
     }
 
-    fn apply(&self, known: &mut Known, changes: Vec<Change>, position: Position, whole: bool, now: Instant) {
-        let mut changed = whole;
+    /// Takes values up to `position`, and tells whether requests see a change.
+    fn apply(&self, known: &mut Known, changes: Vec<Change>, position: Position, extent: Extent, now: Instant) -> bool {
         let items: Vec<Item> = changes.iter().filter_map(self.decoder).collect();
-        if whole {
+        let mut changed = false;
+        if extent == Extent::Whole {
+            changed = !known.is_listed;
             known.is_listed = true;
             known.values.clear();
             for id in catalogue::missing(known.directory.ids(), &items) {
-                let effect = known.directory.on_missing(&id, now);
-                changed |= self.note(&id, effect);
+                changed |= self.on_missing(known, &id);
             }
         }
         for change in changes {
@@ -241,12 +260,7 @@
         for item in items {
             changed |= self.on_item(known, item, now);
         }
-        for id in known.directory.on_tick(now) {
-            changed |= self.note(&id, Effect::Gone);
-        }
-        if changed {
-            self.put_in_effect(known);
-        }
+        changed
     }
 
     /// Returns the position up to which the platform was read, by this instance or one that told it.
@@ -273,17 +287,10 @@
         known.directory.on_platform_lost();
     }
 
-    /// Takes the passing of time: judges entries that lapsed.
-    pub fn on_tick(&self) {
-        let now = Instant::now();
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let gone = known.directory.on_tick(now);
-        for id in &gone {
-            self.note(id, Effect::Gone);
-        }
-        if !gone.is_empty() {
-            self.put_in_effect(&known);
-        }
+    /// Returns the time until which entries that lapsed may still come back.
+    pub(crate) fn doubtful_until(&self) -> Option<Instant> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.directory.doubtful_until()
     }
 
     /// Takes settings that were read again. Seeds and the bound on extra attempts take effect; the rest cannot change
@@ -327,24 +334,28 @@
                 true
             }
             Item::Server(entry) => {
-                let id = entry.id.clone();
-                let effect = known.directory.on_entry(entry, now);
-                self.note(&id, effect)
-            }
-            Item::ServerMissing(id) => {
-                let effect = known.directory.on_missing(&id, now);
-                self.note(&id, effect)
+                let effect = known.directory.on_entry(entry.clone(), now);
+                self.note(&entry, effect)
             }
+            Item::ServerMissing(id) => self.on_missing(known, &id),
             Item::Unreadable { key, server, reason } => {
                 warn!(self.log, "platform_value_unreadable"; "key" => &*key, "reason" => &*reason);
-                server.is_some_and(|id| {
-                    let effect = known.directory.on_unreadable(&id);
-                    self.note(&id, effect)
+                let backend = server.and_then(|id| known.directory.backend(&id));
+                backend.is_some_and(|backend| {
+                    let effect = known.directory.on_unreadable(&backend.entry.id);
+                    self.note(&backend.entry, effect)
                 })
             }
         }
     }
 
+    fn on_missing(&self, known: &mut Known, id: &str) -> bool {
+        known.directory.backend(id).is_some_and(|backend| {
+            let effect = known.directory.on_missing(id);
+            self.note(&backend.entry, effect)
+        })
+    }
+
     /// Forgets the latencies of routes that the new version does not name, so that versions in series do not fill the
     /// memory. Budgets of services stay, since their windows go on.
     fn forget_unused(&self, routing: &Routing) {
@@ -354,7 +365,7 @@
     }
 
     /// Logs what changed for a server, and tells whether requests see it.
-    fn note(&self, server: &str, effect: Effect) -> bool {
+    fn note(&self, server: &BackendEntry, effect: Effect) -> bool {
         let event = match effect {
             Effect::Unchanged => return false,
             Effect::Joined => "server_joined",
@@ -363,15 +374,29 @@
             Effect::Lapsed => "server_lapsed",
             Effect::Gone => "server_gone",
         };
-        info!(self.log, "server_changed"; "server" => server, "change" => event);
+        info!(self.log, "server_changed"; "server" => &*server.id, "change" => event, "service" => &*server.service,
+            "data_centre" => &*server.data_centre);
         effect != Effect::Lapsed
     }
 
+    /// Logs which services lost their last server that can be asked, and which have one again.
+    fn note_services(&self, before: &View, view: &View) {
+        for service in before.services().filter(|service| view.servers(service).is_empty()) {
+            warn!(self.log, "service_changed"; "service" => &**service, "change" => "no_server_left");
+        }
+        for service in view.services().filter(|service| before.servers(service).is_empty()) {
+            info!(self.log, "service_changed"; "service" => &**service, "change" => "has_a_server");
+        }
+    }
+
     fn put_in_effect(&self, known: &Known) {
         let Some(routing) = &known.routing else { return };
         let instances = self.instances();
         let view = known.directory.view(Some(routing), instances);
         let extra = known.extra.share(instances.all);
+        if let Some(before) = &*self.effective.load() {
+            self.note_services(&before.view, &view);
+        }
         self.effective.store(Some(Arc::new(Effective {
             routing: Arc::clone(routing),
             view: Arc::new(view),
--- a/src/process/gateway/measures.rs
+++ b/src/process/gateway/measures.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway.
 
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -38,6 +39,8 @@
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) denied: Counter,
     pub(crate) revision: Gauge,
+    /// Seconds since which the newest change of the platform has not been reached; 0 when all is known.
+    pub(crate) platform_lag: Gauge<f64, AtomicU64>,
 }
 
 impl fmt::Debug for Measures {
@@ -54,6 +57,7 @@
             attempts: Family::default(),
             denied: Counter::default(),
             revision: Gauge::default(),
+            platform_lag: Gauge::default(),
         };
         let mut registry = Registry::with_prefix("pimento_gateway");
         registry.register("requests", "Requests of callers answered", measures.requests.clone());
@@ -69,6 +73,11 @@
             "Configuration revision in effect",
             measures.revision.clone(),
         );
+        registry.register(
+            "platform_lag_seconds",
+            "Time for which changes have been followed without reaching the newest one",
+            measures.platform_lag.clone(),
+        );
         (measures, registry)
     }
 
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -51,9 +51,6 @@
 /// Interval at which the settings are read again. They hold nothing that has to take effect sooner.
 pub const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Interval at which entries that lapsed are judged.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
-
 /// A gateway that runs. Dropping it ends it at once, as when its process is killed.
 #[derive(Debug)]
 pub struct Running {
@@ -167,7 +164,6 @@
     tasks.spawn(neighbours::answer(Arc::clone(&gateway), peers));
     tasks.spawn(neighbours::ask(Arc::clone(&gateway), SmallRng::from_rng(&mut rng)));
     tasks.spawn(catalogue::run(catalogue, Arc::clone(&gateway), rng));
-    tasks.spawn(judge(Arc::clone(&gateway)));
     Ok(Running {
         callers,
         readiness,
@@ -248,10 +244,3 @@
     let bound = HttpServer::bind(address, handler, HttpLimits::default(), log.clone()).await;
     bound.map_err(|source| StartError::Bind { address, source })
 }
-
-async fn judge(gateway: Arc<Gateway>) {
-    loop {
-        tokio::time::sleep(JUDGE_INTERVAL).await;
-        gateway.on_tick();
-    }
-}
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pimentoflow::ids::SearcherId;
 use pimentoflow::process::backends::BackendEntry;
 use pimentoflow::process::backends::Directory;
 use pimentoflow::process::backends::Effect;
@@ -15,6 +16,8 @@
 use pimentoflow::process::backends::place::Wanted;
 use pimentoflow::process::backends::standing::LoadFigures;
 use pimentoflow::process::backends::standing::Standing;
+use pimentoflow::process::catalogue::Freshness;
+use pimentoflow::process::catalogue::ReadOutcome;
 use pimentoflow::process::census::Count;
 use pimentoflow::request::fanout::Cause;
 use pimentoflow::request::fanout::Choice;
@@ -84,7 +87,7 @@
     };
     assert_eq!(directory.on_entry(leaving, now), Effect::Leaving);
     assert_eq!(ids(&directory), ["b"]);
-    assert_eq!(directory.on_missing("b", now), Effect::Gone);
+    assert_eq!(directory.on_missing("b"), Effect::Gone);
     assert!(ids(&directory).is_empty());
 }
 
@@ -100,16 +103,63 @@
     directory.on_platform_lost();
     now += Duration::from_secs(5);
     directory.on_platform_read(now);
-    assert_eq!(directory.on_missing("a", now), Effect::Lapsed);
-    assert_eq!(directory.on_missing("b", now), Effect::Lapsed);
+    assert_eq!(directory.on_missing("a"), Effect::Lapsed);
+    assert_eq!(directory.on_missing("b"), Effect::Lapsed);
     assert_eq!(ids(&directory), ["a", "b"]);
     now += LAPSE_GRACE / 2;
     assert_eq!(directory.on_entry(entry("a", "here"), now), Effect::Unchanged);
-    assert!(directory.on_tick(now).is_empty());
+    assert!(directory.on_caught_up(now).is_empty());
     now += LAPSE_GRACE / 2;
-    assert_eq!(directory.on_tick(now), [Box::from("b")]);
+    let gone: Vec<SearcherId> = directory
+        .on_caught_up(now)
+        .iter()
+        .map(|gone| gone.entry.id.clone())
+        .collect();
+    assert_eq!(gone, [Box::from("b")]);
     assert_eq!(ids(&directory), ["a"]);
-    assert_eq!(directory.on_missing("a", now), Effect::Gone);
+    assert_eq!(directory.on_missing("a"), Effect::Gone);
+}
+
+/// Guards against servers that are judged from a view that is older than the time within which their entries come back:
+/// with many changes after an outage the view arrives there later.
+#[test]
+fn lapsed_entries_are_not_judged_from_an_old_view() {
+    let start = Instant::now();
+    let mut directory = Directory::new("here".into());
+    directory.on_entry(entry("a", "here"), start);
+    directory.on_platform_lost();
+    let back = start + Duration::from_secs(5);
+    directory.on_platform_read(back);
+    assert_eq!(directory.on_missing("a"), Effect::Lapsed);
+    let until = directory.doubtful_until().unwrap();
+    assert!(directory.on_caught_up(until - ms(1)).is_empty());
+    // The entry vanished again while the view was behind: it is still in doubt.
+    assert_eq!(directory.on_missing("a"), Effect::Lapsed);
+    assert_eq!(
+        directory.on_entry(entry("a", "here"), until + ms(900)),
+        Effect::Unchanged
+    );
+    assert!(directory.on_caught_up(until + ms(900)).is_empty());
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+/// Guards against reads that are delayed beyond the time at which lapsed entries have to be judged, and against a pause
+/// after an answer that held only some of the changes.
+#[test]
+fn reads_follow_at_once_when_the_view_is_behind_or_in_doubt() {
+    let now = Instant::now();
+    let freshness = Freshness {
+        settled: Duration::from_secs(4),
+        effect: Duration::from_secs(3),
+    };
+    assert_eq!(freshness.wait(None, now), freshness.read_wait());
+    assert_eq!(freshness.wait(Some(now + ms(300)), now), ms(300));
+    assert!(freshness.wait(Some(now), now + ms(5)) <= ms(1));
+    assert_eq!(freshness.pause(ReadOutcome::News, None, now), freshness.change_pause());
+    assert_eq!(freshness.pause(ReadOutcome::News, Some(now + ms(300)), now), ms(300));
+    for outcome in [ReadOutcome::Behind, ReadOutcome::Quiet] {
+        assert_eq!(freshness.pause(outcome, None, now), Duration::ZERO);
+    }
 }
 
 /// Guards against observations and connections of a former incarnation that are used for a new one with the same name.
