upstream: bounds on the bytes of an answer, and no answer without identity on a used connection

Cause: each answer could grow to 8 MiB, and heads, interim answers, chunk lengths and trailers without end were read until the deadline. An answer that did not repeat the identity of its request counted as its own on any connection. An instance that was told a position beyond the platform's would not have followed it any more.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -19,14 +19,24 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Greatest answer that is accepted from a backend server, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+use crate::connection::body::BodyMemory;
+use crate::connection::body::PartialBody;
+use crate::connection::metered::Allowance;
+use crate::connection::metered::Metered;
+
+/// Bytes that may come before the head of an answer has ended, interim answers (1xx) included.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// Bytes on the connection for each byte that the body may have. The rest is for the lengths of chunks.
+const FRAMING_FACTOR: usize = 2;
+
+/// Bytes that may come between two exchanges. None should; the library closes the connection at the first one.
+const IDLE_BYTES: usize = 1;
 
 /// Buffer of one connection, in bytes. Answers of a part have about 1 KB.
 const BUFFER_BYTES: usize = 8 * 1024;
@@ -45,7 +55,11 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(30);
 
 /// Sending side of a connection.
-type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
+}
 
 /// Answer of a backend server, read to its end.
 #[derive(Debug)]
@@ -68,6 +82,19 @@
     /// Header with the identity of the request, which the server repeats in its answer. It tells the answer apart from
     /// one of an earlier request on the connection.
     pub echo: (&'a HeaderName, &'a HeaderValue),
+    /// Greatest size of the body of the answer, in bytes.
+    pub body_bytes: usize,
+    /// Memory for the body.
+    pub memory: &'a BodyMemory,
+}
+
+impl Exchange<'_> {
+    /// Tells whether an answer belongs to this request. An answer without an identity can only be told apart on a
+    /// connection that carried no request before.
+    fn owns(&self, answer: &Answer, is_fresh: bool) -> bool {
+        let (name, id) = self.echo;
+        answer.headers.get(name).map_or(is_fresh, |echoed| echoed == id)
+    }
 }
 
 /// Failure of an exchange.
@@ -185,6 +212,7 @@
     ) -> Result<Answer, ExchangeError> {
         let deadline = exchange.deadline;
         let (busy, idle) = self.claim()?;
+        let is_fresh = idle.is_none();
         let mut sender = match idle {
             Some(sender) => sender,
             None => self.open(deadline).await?,
@@ -196,12 +224,12 @@
         }
         let request = prepare(left);
         let limit = deadline + ANSWER_GRACE;
-        let answer = tokio::time::timeout_at(limit.into(), converse(&mut sender, request, sent)).await;
+        let answer = tokio::time::timeout_at(limit.into(), converse(&mut sender, exchange, request)).await;
         let answer = answer.map_err(|_elapsed| ExchangeError::TimedOut)??;
-        let (name, id) = exchange.echo;
-        if answer.headers.get(name).is_some_and(|echoed| echoed != id) {
+        if !exchange.owns(&answer, is_fresh) {
             return Err(ExchangeError::Foreign);
         }
+        sender.allowance.set(IDLE_BYTES);
         drop(busy);
         self.keep(sender, &answer.headers);
         Ok(answer)
@@ -217,9 +245,12 @@
         connections.busy += 1;
         connections
             .idle
-            .retain(|idle| idle.usable_until > now && !idle.sender.is_closed());
+            .retain(|idle| idle.usable_until > now && !idle.sender.requests.is_closed());
         // The connection used last is the least likely to be closed by the server.
-        let usable = connections.idle.iter().rposition(|idle| idle.sender.is_ready());
+        let usable = connections
+            .idle
+            .iter()
+            .rposition(|idle| idle.sender.requests.is_ready());
         let sender = usable.map(|ix| connections.idle.remove(ix).sender);
         drop(connections);
         Ok((Busy(self), sender))
@@ -232,19 +263,20 @@
         let stream = connected.map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
         self.lock().opened += 1;
+        let allowance = Allowance::new(IDLE_BYTES);
         let handshake = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|error| broken(&error))?;
+            .handshake(TokioIo::new(Metered::new(stream, allowance.clone())));
+        let (requests, connection) = handshake.await.map_err(|error| broken(&error))?;
         tokio::spawn(async move {
             // The error reaches the sender of the request that was in flight.
             let _reported_elsewhere = connection.await;
         });
-        Ok(sender)
+        Ok(Sender { requests, allowance })
     }
 
     fn keep(&self, sender: Sender, headers: &HeaderMap) {
-        if sender.is_closed() || closes(headers) {
+        if sender.requests.is_closed() || closes(headers) {
             return;
         }
         let time = match stated_idle(headers) {
@@ -260,15 +292,28 @@
     }
 }
 
-async fn converse(sender: &mut Sender, request: Request<Full<Bytes>>, sent: Instant) -> Result<Answer, ExchangeError> {
-    let response = sender.send_request(request).await.map_err(|error| broken(&error))?;
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| ExchangeError::Broken(error.to_string().into()))?;
+async fn converse(
+    sender: &mut Sender,
+    exchange: Exchange<'_>,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, ExchangeError> {
+    let sent = Instant::now();
+    sender.allowance.set(HEAD_BYTES);
+    let response = sender.requests.send_request(request).await;
+    let (head, mut body) = response.map_err(|error| broken(&error))?.into_parts();
+    sender.allowance.set(HEAD_BYTES + FRAMING_FACTOR * exchange.body_bytes);
+    let mut whole = PartialBody::new(exchange.memory, exchange.body_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| broken(&error))?;
+        if let Some(data) = frame.data_ref() {
+            let pushed = whole.push(data);
+            pushed.map_err(|error| ExchangeError::Broken(error.to_string().into()))?;
+        }
+    }
     Ok(Answer {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body: whole.finish(),
         latency: sent.elapsed(),
     })
 }
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -120,7 +120,7 @@
 
     /// Takes the members that another instance knows.
     pub fn on_members(&mut self, members: &[proto::Member], now: Instant) {
-        for member in members {
+        for member in members.iter().take(MAX_MEMBERS) {
             let Ok(address) = member.address.parse() else { continue };
             let age = Duration::from_micros(member.age_us);
             let heard = now.checked_sub(age);
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -39,6 +39,7 @@
 pub(crate) use request::serve;
 pub use settings::GatewaySettings;
 
+use crate::connection::body::BodyMemory;
 use crate::ids::ServiceId;
 use crate::process::admin::Readiness;
 use crate::process::backends::BackendEntry;
@@ -100,6 +101,8 @@
     paces: Mutex<IndexMap<Box<str>, Arc<Mutex<Pace>>>>,
     budgets: Mutex<IndexMap<ServiceId, ExtraBudget>>,
     in_flight: AtomicUsize,
+    /// Memory for the bodies of all answers of backend servers.
+    pub(crate) bodies: BodyMemory,
     lines: Lines,
     /// Time of the last successful read of the platform.
     read_at: Mutex<Option<Instant>>,
@@ -112,6 +115,8 @@
     /// Values as they were read, for instances that cannot read them.
     values: IndexMap<Box<str>, Bytes>,
     position: Option<Position>,
+    /// Time at which another instance told its state last.
+    relayed_at: Option<Instant>,
     routing: Option<Arc<Routing>>,
     /// Bound on extra attempts of all instances.
     extra: ExtraLimits,
@@ -133,6 +138,7 @@
             directory: Directory::new(settings.data_centre.clone()),
             values: IndexMap::new(),
             position: None,
+            relayed_at: None,
             routing: None,
             extra: settings.extra,
             is_listed: false,
@@ -158,6 +164,7 @@
             paces: Mutex::default(),
             budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
+            bodies: BodyMemory::default(),
             lines: Lines::new(Instant::now()),
             read_at: Mutex::new(None),
         };
@@ -206,6 +213,10 @@
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         if known.position.is_some_and(|own| read.position < own) {
             info!(self.log, "platform_read_outdated"; "position" => read.position, "known" => known.position);
+            if known.relayed_at.is_none_or(|at| at < begun) {
+                // The platform does not know the position that was told, so everything is read again.
+                known.position = None;
+            }
             return;
         }
         let mut changed = self.apply(&mut known, read.changes, read.position, extent, now);
@@ -228,6 +239,7 @@
         if !is_behind || !(known.directory.is_cut() || known.position.is_none()) {
             return;
         }
+        known.relayed_at = Some(now);
         info!(self.log, "platform_relayed"; "position" => position, "before" => known.position, "values" => changes.len());
         if self.apply(&mut known, changes, position, Extent::Whole, now) {
             self.put_in_effect(&known);
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -28,6 +28,12 @@
 use crate::request::fanout::Ending;
 use crate::request::fanout::Send;
 
+/// Greatest body of an answer that is passed on whole, in bytes.
+const WHOLE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Greatest body of a part, in bytes: a thousand times the usual one.
+const PART_BYTES: usize = 1024 * 1024;
+
 /// What an attempt needs of its request.
 pub(super) struct Attempted {
     pub(super) gateway: Arc<Gateway>,
@@ -96,6 +102,8 @@
         let exchange = Exchange {
             deadline: self.target.deadline,
             echo: (&names.request_id, &self.target.id),
+            body_bytes: if self.target.is_part { PART_BYTES } else { WHOLE_BYTES },
+            memory: &self.target.gateway.bodies,
         };
         let server = &self.target.server;
         let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
--- a/src/process/http.rs
+++ b/src/process/http.rs
@@ -286,6 +286,8 @@
             () = wait_for(&mut self.phase, ServePhase::Ending) => {}
         }
         tokio::select! {
+            // A request that has arrived is read before the connection counts as idle.
+            biased;
             _closed = connection.as_mut() => return,
             () = tokio::time::sleep(IDLE_LINGER) => {}
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod codec;
 mod commands;
 mod configuration_page;
+mod connection_body;
 mod connection_limit;
 mod connection_pool;
 mod connection_queue;
