gateway: less urgent requests are turned away on arrival while servers have queues

Cause: at four times the usual load each of 33 instances may have one search in flight at a server, so the sum exceeds what the servers work off in the objective of an urgent request, and urgent requests wait behind searches. Such a limit cannot be divided further. Now a share of the less urgent requests is turned away whole, before any work; each instance adapts the share to the queues that servers report, so no number of instances enters. Ruled out: a limit derived from the urgent objective and divided among instances; its shares are below one.

--- a/src/process.rs
+++ b/src/process.rs
@@ -24,6 +24,7 @@
 pub mod pace;
 pub mod peers;
 pub mod platform;
+pub mod pressure;
 pub mod program;
 pub mod replicas;
 pub mod settings;
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -61,6 +61,7 @@
 use crate::process::gateway::measures::Measures;
 use crate::process::http::HttpLimits;
 use crate::process::pace::Pace;
+use crate::process::pressure::Pressure;
 use crate::version::routing::CallerLimits;
 use crate::version::routing::Routing;
 
@@ -99,6 +100,7 @@
     census: Mutex<Census>,
     decoder: Decoder,
     paces: Mutex<IndexMap<Box<str>, Arc<Mutex<Pace>>>>,
+    pressures: Mutex<IndexMap<Box<str>, Pressure>>,
     budgets: Mutex<IndexMap<ServiceId, ExtraBudget>>,
     in_flight: AtomicUsize,
     /// Memory for the bodies of all answers of backend servers.
@@ -162,6 +164,7 @@
             effective: ArcSwapOption::empty(),
             known: Mutex::new(known),
             paces: Mutex::default(),
+            pressures: Mutex::default(),
             budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             bodies: BodyMemory::default(),
@@ -374,6 +377,9 @@
         let names: IndexSet<&str> = routing.routes().map(|route| &*route.name).collect();
         let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
         paces.retain(|name, _| names.contains(&**name));
+        drop(paces);
+        let mut pressures = self.pressures.lock().unwrap_or_else(PoisonError::into_inner);
+        pressures.retain(|name, _| names.contains(&**name));
     }
 
     /// Logs what changed for a server, and tells whether requests see it.
@@ -435,6 +441,15 @@
         pace
     }
 
+    /// Calls `act` with the load of the servers of a route.
+    fn with_pressure<T>(&self, route: &str, act: impl FnOnce(&mut Pressure) -> T) -> T {
+        let mut pressures = self.pressures.lock().unwrap_or_else(PoisonError::into_inner);
+        match pressures.get_mut(route) {
+            Some(pressure) => act(pressure),
+            None => act(pressures.entry(route.into()).or_default()),
+        }
+    }
+
     /// Calls `act` with the budget of extra attempts of a service.
     fn with_budget<T>(&self, service: &str, now: Instant, act: impl FnOnce(&mut ExtraBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -27,6 +27,7 @@
 use crate::request::fanout::Cause;
 use crate::request::fanout::Ending;
 use crate::request::fanout::Send;
+use crate::version::routing::Route;
 
 /// Greatest body of an answer that is passed on whole, in bytes.
 const WHOLE_BYTES: usize = 8 * 1024 * 1024;
@@ -39,6 +40,7 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) server: Arc<Backend>,
     pub(super) service: ServiceId,
+    pub(super) route: Arc<Route>,
     pub(super) pace: Arc<Mutex<Pace>>,
     pub(super) outgoing: Arc<Outgoing>,
     pub(super) id: HeaderValue,
@@ -152,6 +154,10 @@
         let names = &self.target.gateway.names;
         if let Some(load) = head::load_figures(&answer.headers, &names.load) {
             standing.on_load(load, now);
+            let route = &self.target.route.name;
+            self.target
+                .gateway
+                .with_pressure(route, |pressure| pressure.on_load(load));
         }
         let status = answer.status;
         let not_run = answer.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -215,6 +215,7 @@
             gateway: Arc::clone(&self.gateway),
             server: self.server(send.part, send.server),
             service: self.services[send.part].clone(),
+            route: Arc::clone(&self.route),
             pace: Arc::clone(&self.pace),
             outgoing: Arc::clone(&self.outgoing),
             id: self.id.clone(),
--- a/src/process/gateway/measures.rs
+++ b/src/process/gateway/measures.rs
@@ -18,7 +18,7 @@
 pub(crate) struct RouteLabels {
     /// Service of the request, or the first shard's, or empty when no route took it.
     pub(crate) service: String,
-    /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `no_route` or `malformed`.
+    /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `turned_away`, `no_route` or `malformed`.
     pub(crate) outcome: &'static str,
 }
 
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Admission of a request of a caller: finds its route and reads it whole, or answers it at once.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -11,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use rand::Rng;
 use slog::info;
 
 use crate::process::gateway::Gateway;
@@ -22,6 +24,10 @@
 use crate::process::gateway::head::Outgoing;
 use crate::process::gateway::lines::Topic;
 
+/// Time after which a caller that is turned away should come back, as shares of the objective between which it lies. The
+/// admitted share changes in that time.
+const LOADED_RETRY_SHARES: Range<f64> = 0.5..1.5;
+
 /// Counts a request as in flight until it is dropped.
 struct InFlight(Arc<Gateway>);
 
@@ -115,6 +121,14 @@
             ));
         }
     };
+    let is_admitted = !effective.routing.is_route_outranked(&route)
+        || gateway.with_pressure(&route.name, |pressure| pressure.admits(started, &mut rand::rng()));
+    if !is_admitted {
+        let text = "the backend servers have more urgent work; the request has not run\n";
+        // Callers that are turned away together do not come back together.
+        let after = route.objective.mul_f64(rand::rng().random_range(LOADED_RETRY_SHARES));
+        return Err(Refusal::new("turned_away", answer::not_run(text, after)));
+    }
     let mut headers = head.headers;
     head::strip_connection_headers(&mut headers);
     let outgoing = Outgoing {
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -200,6 +200,13 @@
         self.ranks.get(service).is_some_and(|rank| *rank < route.rank)
     }
 
+    /// Tells whether a more urgent route shares servers with `route`.
+    #[must_use]
+    pub fn is_route_outranked(&self, route: &Route) -> bool {
+        let mut services = route.target.services();
+        services.any(|service| self.is_outranked(route, service))
+    }
+
     /// Returns the route with the longest prefix that begins `path`. A port in `host` is ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -20,6 +20,7 @@
 use pimentoflow::process::extra::ExtraLimits;
 use pimentoflow::process::pace;
 use pimentoflow::process::pace::Pace;
+use pimentoflow::process::pressure::Pressure;
 use pimentoflow::request::fanout::Cause;
 use pimentoflow::request::fanout::Ending;
 use pimentoflow::request::fanout::Fanout;
@@ -227,6 +228,7 @@
 struct Instance {
     view: View,
     paces: Vec<Pace>,
+    pressures: Vec<Pressure>,
     budgets: Vec<ExtraBudget>,
 }
 
@@ -268,6 +270,7 @@
     let instances = (0..load.instances).map(|instance| Instance {
         view: view_of(instance),
         paces: load.kinds.iter().map(|_| Pace::default()).collect(),
+        pressures: load.kinds.iter().map(|_| Pressure::default()).collect(),
         budgets: (0..load.shards).map(|_| ExtraBudget::new(start)).collect(),
     });
     let mut replay = Replay {
@@ -369,6 +372,10 @@
             self.report.parts[shard].push(at);
             self.instances[instance].budgets[shard].on_request(&self.limits, self.now);
         }
+        let pressure = &mut self.instances[instance].pressures[kind];
+        if self.load.kinds[kind].is_outranked && !pressure.admits(self.now, &mut self.rng) {
+            return self.turn_away(kind);
+        }
         let limits = Limits {
             parts: self.load.shards,
             least: (coverage * self.load.shards as f64 - 1e-9).ceil() as usize,
@@ -389,6 +396,17 @@
         self.step(self.requests.len() - 1);
     }
 
+    fn turn_away(&mut self, kind: usize) {
+        if self.elapsed() >= self.load.report_from {
+            let refused = Outcome {
+                asked: 1,
+                refused: 1,
+                ..Outcome::default()
+            };
+            self.report.kinds[self.load.kinds[kind].name].add(&refused);
+        }
+    }
+
     /// Does what the owner of a [`Fanout`] does.
     fn step(&mut self, ix: usize) {
         if self.requests[ix].is_over {
@@ -597,6 +615,7 @@
                 standing.on_load(load, self.now);
                 standing.on_answer(latency, usual, self.now);
                 pace.observe(latency);
+                instance.pressures[kind].on_load(load);
                 Ending::Answered
             }
             Reply::Failure => {
