routing: splits begin at a random place of their sequence

Cause: every instance began the sequence of each version at the same place. The new test fails with the common start.

--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -114,12 +114,19 @@
 }
 
 impl Split {
-    /// Makes a split. Weights that are not positive get no requests.
+    /// Makes a split. Weights that are not positive get no requests. The place of the first request is random: with many
+    /// instances each deals only a few requests of a version, and all would give the first ones to the same service.
     #[must_use]
     pub fn new(shares: Vec<(ServiceId, f64)>) -> Self {
+        Self::with_start(shares, rand::random())
+    }
+
+    /// Makes a split whose first request lies at `start` in the sequence of all `u32`.
+    #[must_use]
+    pub const fn with_start(shares: Vec<(ServiceId, f64)>, start: u32) -> Self {
         Self {
             shares,
-            next: AtomicU32::new(0),
+            next: AtomicU32::new(start),
         }
     }
 
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -9,6 +9,9 @@
 use pimentoflow::version::routing::ShardSet;
 use pimentoflow::version::routing::Split;
 use pimentoflow::version::routing::Target;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -76,7 +79,7 @@
         ("b".into(), 25.0),
         ("c".into(), 5.0),
     ];
-    let split = Split::new(shares);
+    let split = Split::with_start(shares, 0);
     let mut counts: IndexMap<Box<str>, u32> = IndexMap::new();
     for _ in 0..300 {
         *counts.entry(split.deal().unwrap().clone()).or_default() += 1;
@@ -88,6 +91,31 @@
     assert!(!counts.contains_key("none"));
 }
 
+fn shares_of_70_and_30() -> Vec<(Box<str>, f64)> {
+    vec![("a".into(), 70.0), ("b".into(), 30.0)]
+}
+
+fn dealt_first(split: &Split, requests: usize) -> usize {
+    (0..requests).filter(|_| split.deal().is_some_and(|service| &**service == "a")).count()
+}
+
+/// Guards against instances that all give their first requests to the same service: 118 of them that deal three requests
+/// each have to meet the weights together, within the 0.1 that the largest deployment allows.
+#[test]
+fn many_instances_that_deal_few_requests_meet_the_weights() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for round in 0..20 {
+        let splits = std::iter::repeat_with(|| Split::with_start(shares_of_70_and_30(), rng.random()));
+        let first: usize = splits.take(118).map(|split| dealt_first(&split, 3)).sum();
+        let share = first as f64 / (118.0 * 3.0);
+        assert!((share - 0.7).abs() < 0.1, "round {round}: {share}");
+    }
+    let first: usize = (0..256)
+        .map(|_| dealt_first(&Split::new(shares_of_70_and_30()), 1))
+        .sum();
+    assert!((1..256).contains(&first), "all instances begin with the same service");
+}
+
 /// Guards against an answer below the least coverage because of rounding, and against one that asks for more shards than
 /// the share means.
 #[test]
