--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -61,6 +61,7 @@
         length: Duration::from_secs(12),
         surge: |_, _| 1.0,
         health: |_, _, _| Health::Good,
+        warmup: |_| Duration::ZERO,
         report_from: Duration::ZERO,
     }
 }
@@ -80,7 +81,7 @@
         for (name, outcome) in &report.kinds {
             assert_eq!(outcome.held, 0, "seed {seed}: {name} refused late without an attempt");
         }
-        let extras = report.most_extras();
+        let extras = report.most_extras(&EXTRA);
         assert!(
             extras <= EXTRA.allowance,
             "seed {seed}: {extras} extra attempts beyond the ratio"
@@ -362,3 +363,60 @@
         ..load
     }));
 }
+
+/// Guards against servers that have just started and are slow for some seconds, as their entries say, and are used as if
+/// they were warm.
+#[test]
+fn one_server_of_three_is_cold() {
+    assert_timely(&play(|load| Load {
+        health: |_, server, at| {
+            if server == 0 && at < ms(3000) {
+                Health::Slow(1.6)
+            } else {
+                Health::Good
+            }
+        },
+        warmup: |server| if server == 0 { ms(3000) } else { Duration::ZERO },
+        ..load
+    }));
+}
+
+/// Guards against a server that fails all requests of some instances, and is asked by them because the others find it well.
+#[test]
+fn one_server_of_three_fails_for_some_instances() {
+    assert_timely(&play(|load| Load {
+        health: |_, server, _| {
+            if server == 0 {
+                Health::FailingFor(3)
+            } else {
+                Health::Good
+            }
+        },
+        ..load
+    }));
+}
+
+/// Guards against connections that servers forget while they are idle: with 33 instances most of them are idle for a second
+/// between two requests, and each reset costs a second attempt.
+#[test]
+fn one_server_of_three_forgets_idle_connections() {
+    assert_timely(&play(|load| Load {
+        health: |_, server, _| {
+            if server == 0 {
+                Health::Forgetful(ms(800))
+            } else {
+                Health::Good
+            }
+        },
+        ..load
+    }));
+}
+
+/// Guards against bursts in series, each of which finds the queues and budgets of the one before.
+#[test]
+fn several_bursts() {
+    assert_value(&play(|load| Load {
+        surge: |_, at| if at.as_millis() % 3000 < 1500 { 3.0 } else { 1.0 },
+        ..load
+    }));
+}
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -1,5 +1,7 @@
 //! Replay of a load on the virtual clock: instances with the real decisions, and servers and links that are modelled.
 
+mod report;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
@@ -31,6 +33,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+pub use self::report::Outcome;
+pub use self::report::Report;
+
 /// One way between an instance and a server, and between a caller and an instance.
 const WAY: Duration = Duration::from_millis(1);
 
@@ -84,6 +89,10 @@
     Failing(f64),
     /// Refuses this share of its requests at once, though it has room.
     Shedding(f64),
+    /// Fails all requests of one instance in this many, and works for the others.
+    FailingFor(usize),
+    /// Resets a connection that was idle for this long, with the next request on it.
+    Forgetful(Duration),
 }
 
 /// A load to replay.
@@ -101,85 +110,8 @@
     pub report_from: Duration,
     /// Health of the server with this number of this shard, at a time since the start.
     pub health: fn(shard: usize, server: usize, Duration) -> Health,
-}
-
-/// What came of the requests of one kind.
-#[derive(Debug, Clone, Default)]
-pub struct Outcome {
-    pub asked: usize,
-    /// Answered within the objective.
-    pub timely: usize,
-    /// Answered after it.
-    pub late: usize,
-    pub refused: usize,
-    pub failed: usize,
-    /// Refused or failed later than a quarter of the objective after the arrival, without any attempt.
-    pub held: usize,
-    /// Refused or failed later than a quarter of the objective after the arrival.
-    pub lingering: usize,
-    /// Greatest number of parts missing in one answer.
-    pub missing: usize,
-    /// Value of the timely answers: the square of the share of parts in each.
-    value: f64,
-}
-
-impl Outcome {
-    /// Share of the requests that are answered.
-    pub fn served(&self) -> f64 {
-        (self.timely + self.late) as f64 / self.asked.max(1) as f64
-    }
-
-    /// Share of the requests that are answered within the objective.
-    pub fn timely(&self) -> f64 {
-        self.timely as f64 / self.asked.max(1) as f64
-    }
-
-    /// Value of the answers, from 0 to 1.
-    pub fn value(&self) -> f64 {
-        self.value / self.asked.max(1) as f64
-    }
-
-    fn add(&mut self, other: &Self) {
-        self.asked += other.asked;
-        self.timely += other.timely;
-        self.late += other.late;
-        self.refused += other.refused;
-        self.failed += other.failed;
-        self.held += other.held;
-        self.lingering += other.lingering;
-        self.missing = self.missing.max(other.missing);
-        self.value += other.value;
-    }
-}
-
-/// What came of a replay.
-#[derive(Debug, Default)]
-pub struct Report {
-    pub kinds: IndexMap<&'static str, Outcome>,
-    /// Times at which requests for each shard arrived at an instance.
-    parts: Vec<Vec<Duration>>,
-    /// Times of the attempts for each shard that reach a server beyond the first of a part.
-    extras: Vec<Vec<Duration>>,
-}
-
-impl Report {
-    pub fn of(&self, kind: &str) -> &Outcome {
-        &self.kinds[kind]
-    }
-
-    /// Greatest number of extra attempts for one shard in a window of the budget, beyond the ratio of the requests in it.
-    pub fn most_extras(&self) -> f64 {
-        let mut most = 0.0_f64;
-        for (parts, extras) in self.parts.iter().zip(&self.extras) {
-            for (ix, last) in extras.iter().enumerate() {
-                let from = last.saturating_sub(EXTRA.window);
-                let count = extras[..=ix].iter().filter(|at| **at > from).count();
-                let requests = parts.iter().filter(|at| **at > from && *at <= last).count();
-                most = most.max(count as f64 - requests as f64 * EXTRA.ratio);
-            }
-        }
-        most
-    }
+    /// Time for which the server with this number of each shard is still cold at the start, as its entry says.
+    pub warmup: fn(server: usize) -> Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -196,6 +128,7 @@
 enum Reply {
     Good(u32, u32),
     Failure,
+    Broken,
     Full,
     Unreachable,
 }
@@ -244,10 +177,17 @@
     jobs: Vec<Job>,
     requests: Vec<Request>,
     report: Report,
+    /// Time at which an instance last asked a server.
+    asked: IndexMap<(usize, usize), Instant>,
     limits: ExtraLimits,
     count: Count,
 }
 
+/// Tells whether a connection that was used `before` has been idle for too long.
+fn is_forgotten(before: Option<Instant>, now: Instant, idle: Duration) -> bool {
+    before.is_some_and(|before| now - before > idle)
+}
+
 /// Servers of one shard.
 pub const SERVERS: usize = 3;
 
@@ -288,6 +228,7 @@
             extras: vec![Vec::new(); load.shards],
             kinds: load.kinds.iter().map(|kind| (kind.name, Outcome::default())).collect(),
         },
+        asked: IndexMap::new(),
         limits: EXTRA.share(load.instances as u32),
         count,
         load,
@@ -308,7 +249,7 @@
         data_centre: data_centre(shard + server, load),
         slots: SLOTS as u32,
         leaving: false,
-        warmup: Duration::ZERO,
+        warmup: (load.warmup)(server),
         born: 1,
     }
 }
@@ -490,6 +431,8 @@
         if self.jobs[job].is_over {
             return;
         }
+        let instance = self.requests[self.jobs[job].request].instance;
+        let asked_before = self.asked.insert((instance, server), self.now);
         match self.health(server) {
             Health::Silent => return,
             Health::Down => {
@@ -519,7 +462,25 @@
                     },
                 );
             }
-            Health::Good | Health::Slow(_) | Health::Failing(_) | Health::Shedding(_) => {}
+            Health::FailingFor(every) if self.requests[self.jobs[job].request].instance % every == 0 => {
+                return self.at(
+                    WAY,
+                    Event::Reply {
+                        job,
+                        reply: Reply::Failure,
+                    },
+                );
+            }
+            Health::Forgetful(idle) if is_forgotten(asked_before, self.now, idle) => {
+                return self.at(
+                    WAY,
+                    Event::Reply {
+                        job,
+                        reply: Reply::Broken,
+                    },
+                );
+            }
+            _ => {}
         }
         if self.servers[server].waiting.len() >= QUEUE {
             return self.at(
@@ -622,6 +583,10 @@
                 standing.on_error(self.now);
                 Ending::Failed
             }
+            Reply::Broken => {
+                standing.on_failure(self.now);
+                Ending::Failed
+            }
             Reply::Full => {
                 standing.on_full(self.now);
                 Ending::NotRun
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -96,7 +96,9 @@
 }
 
 fn dealt_first(split: &Split, requests: usize) -> usize {
-    (0..requests).filter(|_| split.deal().is_some_and(|service| &**service == "a")).count()
+    (0..requests)
+        .filter(|_| split.deal().is_some_and(|service| &**service == "a"))
+        .count()
 }
 
 /// Guards against instances that all give their first requests to the same service: 118 of them that deal three requests
