gateway: one instance of a data centre reads the store, and the others follow it

Ruled out: longer pauses, gossip of positions, and the product's dissemination; docs/design/large-fleets.md. Also a lint in the replays.

--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -4,6 +4,8 @@
 //! then waits for changes from where it stopped, so that nothing is missed. When the platform fails, the instance goes on
 //! with what it knows. See "Reading the platform" in `docs/design/platform.md`.
 
+mod history;
+
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +18,7 @@
 use slog::info;
 use slog::warn;
 
+pub use self::history::History;
 use crate::ids::Revision;
 use crate::ids::SearcherId;
 use crate::process::backends::BackendEntry;
@@ -44,6 +47,12 @@
 /// Longest pause between a change and the next read, so that servers that join are used soon.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
+/// Share of the time in which a change has to be in effect that an instance which others follow waits or pauses at most.
+const READER_SHARE: f64 = 1.0 / 6.0;
+
+/// Longest such time. More would let followers notice late that their reader is cut off.
+const READER_MAX: Duration = Duration::from_secs(1);
+
 /// First pause after a failed read. It doubles with each further failure.
 pub const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 
@@ -75,6 +84,13 @@
         self.effect.mul_f64(PAUSE_SHARE).min(PAUSE_MAX)
     }
 
+    /// Returns the longest wait and the longest pause of an instance that others follow. When it is cut off, a wait, a pause
+    /// and an answer that does not come pass until a follower reads the platform itself.
+    #[must_use]
+    pub fn reader_time(self) -> Duration {
+        self.effect.mul_f64(READER_SHARE).min(READER_MAX)
+    }
+
     /// Returns the wait of a read that begins now. While missing entries are in doubt until `doubtful`, the read ends no
     /// later, so that one that shows which entries came back follows at once.
     #[must_use]
@@ -136,6 +152,20 @@
     pub position: Position,
     /// Whether the platform held nothing beyond them when it answered.
     pub is_complete: bool,
+    /// Who was asked.
+    pub origin: Origin,
+}
+
+/// Where changes were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform itself.
+    Platform,
+    /// Another instance that reads the platform.
+    Instance {
+        /// Time since the beginning of its last read that reached the newest change.
+        age: Duration,
+    },
 }
 
 impl Changes {
@@ -263,10 +293,13 @@
                 failures = 0;
                 is_forgotten = false;
                 lag.on_read(&gateway, &read, begun);
-                let outcome = read.outcome();
+                let (outcome, origin) = (read.outcome(), read.origin);
                 gateway.on_platform_read(read, extent, begun);
-                let pause = freshness.pause(outcome, gateway.doubtful_until(), Instant::now());
-                tokio::time::sleep(pause).await;
+                // Reads of another instance cost nothing, and that one has paused.
+                if origin == Origin::Platform {
+                    let pause = freshness.pause(outcome, gateway.doubtful_until(), Instant::now());
+                    tokio::time::sleep(gateway.bound(pause)).await;
+                }
             }
             Err(ReadError::Forgotten) => {
                 info!(gateway.log, "platform_changes_forgotten"; "position" => position);
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -16,6 +16,7 @@
 
 use crate::ids::DataCentreId;
 use crate::ids::InstanceId;
+use crate::process::ownership::rank::NameHash;
 use crate::wire::proto;
 
 /// Time between two exchanges.
@@ -47,6 +48,10 @@
 /// about every `known / 64` rounds of 2 s, and three such times allow for chance.
 const FORGET_EACH: Duration = Duration::from_millis(95);
 
+/// Instances of a data centre from which on one reads the platform for the others. With fewer it saves no calls, since it
+/// reads more often.
+const READER_FROM: usize = 5;
+
 #[derive(Debug, Clone)]
 struct Member {
     address: SocketAddr,
@@ -63,6 +68,15 @@
     pub local: u32,
 }
 
+/// Where an instance learns of changes of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// It reads the platform itself.
+    Platform,
+    /// It follows the instance with this address.
+    Instance(SocketAddr),
+}
+
 /// What is known of other instances.
 #[derive(Debug)]
 pub struct Census {
@@ -205,6 +219,36 @@
         }
     }
 
+    /// Tells where this instance learns of changes.
+    #[must_use]
+    pub fn source(&self) -> Source {
+        match self.reader() {
+            Some((reader, address)) if reader != &self.own => Source::Instance(address),
+            Some(_) | None => Source::Platform,
+        }
+    }
+
+    /// Tells whether other instances follow this one.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.reader().is_some_and(|(reader, _)| reader == &self.own)
+    }
+
+    /// Returns the instance of the own data centre that reads the platform for the others; `None` where all do. Instances
+    /// that know the same members choose the same one.
+    fn reader(&self) -> Option<(&InstanceId, SocketAddr)> {
+        let near = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.data_centre == self.data_centre);
+        let mut near: Vec<(&InstanceId, SocketAddr)> = near.map(|(id, member)| (id, member.address)).collect();
+        near.push((&self.own, self.address));
+        if near.len() < READER_FROM {
+            return None;
+        }
+        near.into_iter().min_by_key(|(instance, _)| NameHash::of(instance).0)
+    }
+
     fn lifetime(&self) -> Duration {
         let known = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
         FORGET + FORGET_EACH.saturating_mul(known)
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod followers;
 mod forwarding;
 mod head;
 pub mod lines;
@@ -30,6 +31,7 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tokio::sync::watch;
 
 pub use head::HeaderNames;
 pub use program::RELOAD_INTERVAL;
@@ -51,10 +53,13 @@
 use crate::process::catalogue::Changes;
 use crate::process::catalogue::Decoder;
 use crate::process::catalogue::Extent;
+use crate::process::catalogue::History;
 use crate::process::catalogue::Item;
+use crate::process::catalogue::Origin;
 use crate::process::catalogue::Position;
 use crate::process::census::Census;
 use crate::process::census::Count;
+use crate::process::census::Source;
 use crate::process::extra::ExtraBudget;
 use crate::process::extra::ExtraLimits;
 use crate::process::gateway::lines::Lines;
@@ -64,6 +69,7 @@
 use crate::process::pressure::Pressure;
 use crate::version::routing::CallerLimits;
 use crate::version::routing::Routing;
+use crate::wire::proto;
 
 /// Time that a caller that is refused waits before it comes back while this instance knows no configuration. Reading
 /// everything takes a few round trips to the platform.
@@ -72,6 +78,10 @@
 /// Time in which a caller must take some bytes of an answer; one that does not read would hold its answer in memory.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Age of the last complete read from which an instance does not tell others what it knows. A wait, a pause and an answer
+/// of a slow platform fit into it.
+const STALE_AGE: Duration = Duration::from_secs(4);
+
 /// Connections of callers that are open at one time. Each takes a descriptor and some 20 KB of buffers.
 const CALLER_CONNECTIONS: usize = 4096;
 
@@ -108,6 +118,8 @@
     lines: Lines,
     /// Time of the last successful read of the platform.
     read_at: Mutex<Option<Instant>>,
+    /// Signals the end of a read of the platform to the instances that follow this one.
+    pub(crate) reads: watch::Sender<()>,
 }
 
 /// What is known from the platform.
@@ -117,6 +129,12 @@
     /// Values as they were read, for instances that cannot read them.
     values: IndexMap<Box<str>, Bytes>,
     position: Option<Position>,
+    /// Whether the last read was one of another instance.
+    is_follower: bool,
+    /// Changes for instances that follow this one.
+    history: History,
+    /// Time as of which everything is known that the platform held.
+    complete_at: Option<Instant>,
     /// Time at which another instance told its state last.
     relayed_at: Option<Instant>,
     routing: Option<Arc<Routing>>,
@@ -140,6 +158,9 @@
             directory: Directory::new(settings.data_centre.clone()),
             values: IndexMap::new(),
             position: None,
+            is_follower: false,
+            history: History::default(),
+            complete_at: None,
             relayed_at: None,
             routing: None,
             extra: settings.extra,
@@ -170,6 +191,7 @@
             bodies: BodyMemory::default(),
             lines: Lines::new(Instant::now()),
             read_at: Mutex::new(None),
+            reads: watch::Sender::new(()),
         };
         (Arc::new(gateway), registry)
     }
@@ -222,15 +244,23 @@
             }
             return;
         }
+        known.is_follower = read.origin != Origin::Platform;
         let mut changed = self.apply(&mut known, read.changes, read.position, extent, now);
-        if read.is_complete {
-            for gone in known.directory.on_caught_up(begun) {
+        let as_of = match read.origin {
+            Origin::Platform => Some(begun),
+            Origin::Instance { age } => begun.checked_sub(age),
+        };
+        if let Some(as_of) = as_of.filter(|_| read.is_complete) {
+            known.complete_at = Some(as_of);
+            for gone in known.directory.on_caught_up(as_of) {
                 changed |= self.note(&gone.entry, Effect::Gone);
             }
         }
         if changed {
             self.put_in_effect(&known);
         }
+        drop(known);
+        self.reads.send_replace(());
     }
 
     /// Takes what another instance has read up to `position`, which is all there is. It counts while this instance cannot
@@ -261,6 +291,7 @@
                 changed |= self.on_missing(known, &id);
             }
         }
+        known.history.on_read(&changes, position, extent);
         for change in changes {
             match change.value {
                 Some(value) => {
@@ -300,6 +331,54 @@
     pub fn on_platform_lost(&self) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_lost();
+        drop(known);
+        self.reads.send_replace(());
+    }
+
+    /// Returns where this instance learns of changes.
+    pub(crate) fn source(&self) -> Source {
+        self.census.lock().unwrap_or_else(PoisonError::into_inner).source()
+    }
+
+    /// Tells whether other instances follow this one.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.census.lock().unwrap_or_else(PoisonError::into_inner).is_reader()
+    }
+
+    /// Bounds a wait or a pause of a read of the platform for the sake of followers.
+    pub(crate) fn bound(&self, time: Duration) -> Duration {
+        if self.is_reader() {
+            time.min(self.settings.freshness.reader_time())
+        } else {
+            time
+        }
+    }
+
+    /// Returns what an instance at `position` learns from this one.
+    fn followed(&self, position: Position) -> proto::Followed {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let age = known.complete_at.map(|at| at.elapsed());
+        // An instance that is behind the asking one may reach it while that one waits.
+        let is_behind = known.position.is_some_and(|own| own < position);
+        let changes = if is_behind {
+            Some(Vec::new())
+        } else {
+            known.history.since(position)
+        };
+        let is_stale = known.is_follower || known.directory.is_cut() || age.is_none_or(|age| age > STALE_AGE);
+        let stored = changes.as_ref().filter(|_| !is_stale).into_iter().flatten();
+        proto::Followed {
+            position: known.position.unwrap_or_default(),
+            complete: self.measures.platform_lag.get() == 0.0,
+            stale: is_stale || changes.is_none(),
+            age_us: u64::try_from(age.unwrap_or_default().as_micros()).unwrap_or(u64::MAX),
+            changes: stored
+                .map(|change| proto::StoredChange {
+                    key: change.key.to_string(),
+                    value: change.value.clone(),
+                })
+                .collect(),
+        }
     }
 
     /// Returns the time until which entries that lapsed may still come back.
--- a/src/process/gateway/neighbours.rs
+++ b/src/process/gateway/neighbours.rs
@@ -20,6 +20,7 @@
 use crate::process::catalogue::Change;
 use crate::process::census::Count;
 use crate::process::gateway::Gateway;
+use crate::process::gateway::followers;
 use crate::wire::codec::CodecError;
 use crate::wire::codec::FrameCodec;
 use crate::wire::proto;
@@ -28,12 +29,15 @@
 /// Time for one exchange. It is many round trips, and short enough that a silent partner costs one round.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time in which an instance that opened a connection, or follows this one, must ask.
+const ASK_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Pause after a failed accept, so that a lack of file descriptors does not turn into a busy loop.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
 /// Failure of an exchange.
 #[derive(Debug, thiserror::Error)]
-enum ExchangeError {
+pub(super) enum ExchangeError {
     #[error("cannot connect: {0}")]
     Connect(#[from] io::Error),
     #[error("{0}")]
@@ -144,7 +148,7 @@
                 let gateway = Arc::clone(&gateway);
                 tokio::spawn(async move {
                     // The side that asked logs a failure.
-                    let _logged_there = tokio::time::timeout(EXCHANGE_TIMEOUT, reply(&gateway, stream)).await;
+                    let _logged_there = reply(&gateway, stream).await;
                 });
             }
             Err(error) => {
@@ -155,13 +159,27 @@
     }
 }
 
+/// Answers one exchange of rosters, or an instance that follows this one for as long as it asks.
 async fn reply(gateway: &Gateway, stream: TcpStream) -> Result<(), ExchangeError> {
     let mut framed = Framed::new(stream, FrameCodec::new());
-    let Some(Body::Roster(asked)) = framed.next().await.transpose()? else {
-        return Err(ExchangeError::Closed);
-    };
-    let roster = gateway.roster(Some(&asked));
-    gateway.on_roster(asked);
-    framed.send(Body::Roster(roster)).await?;
-    Ok(())
+    loop {
+        let asked = tokio::time::timeout(ASK_TIMEOUT, framed.next()).await;
+        let Ok(Some(asked)) = asked else {
+            return Err(ExchangeError::Closed);
+        };
+        let (answer, is_last) = match asked? {
+            Body::Roster(asked) => {
+                let roster = gateway.roster(Some(&asked));
+                gateway.on_roster(asked);
+                (Body::Roster(roster), true)
+            }
+            Body::Follow(asked) => (Body::Followed(followers::answer(gateway, asked).await), false),
+            _ => return Err(ExchangeError::Closed),
+        };
+        let sent = tokio::time::timeout(EXCHANGE_TIMEOUT, framed.send(answer)).await;
+        sent.map_err(|_elapsed| ExchangeError::Closed)??;
+        if is_last {
+            return Ok(());
+        }
+    }
 }
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -47,6 +47,10 @@
         GoAwayReply(super::GoAwayReply),
         #[prost(message, tag = "18")]
         Roster(super::Roster),
+        #[prost(message, tag = "19")]
+        Follow(super::Follow),
+        #[prost(message, tag = "20")]
+        Followed(super::Followed),
     }
 }
 /// First frame in each direction of a session.
@@ -446,6 +450,40 @@
     #[prost(string, tag = "4")]
     pub data_centre: ::prost::alloc::string::String,
 }
+/// Asks an instance that reads the platform for the changes after a position.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Follow {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    /// Time to wait for changes, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Followed {
+    /// Position after the changes.
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    /// True when the platform held nothing beyond them when it was read.
+    #[prost(bool, tag = "2")]
+    pub complete: bool,
+    /// True when the sender does not read the platform now, or no longer knows all changes after the position.
+    #[prost(bool, tag = "3")]
+    pub stale: bool,
+    /// Time since the beginning of the last read that reached the newest change.
+    #[prost(uint64, tag = "4")]
+    pub age_us: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub changes: ::prost::alloc::vec::Vec<StoredChange>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoredChange {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    /// Absent when the value was removed.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub value: ::core::option::Option<::prost::bytes::Bytes>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoredValue {
     #[prost(string, tag = "1")]
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -462,7 +462,7 @@
                     },
                 );
             }
-            Health::FailingFor(every) if self.requests[self.jobs[job].request].instance % every == 0 => {
+            Health::FailingFor(every) if self.requests[self.jobs[job].request].instance.is_multiple_of(every) => {
                 return self.at(
                     WAY,
                     Event::Reply {
