--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -9,6 +9,7 @@
 mod followers;
 mod forwarding;
 mod head;
+mod known;
 pub mod lines;
 mod measures;
 mod neighbours;
@@ -25,12 +26,10 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
-use bytes::Bytes;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use tokio::sync::watch;
 
 pub use head::HeaderNames;
@@ -44,24 +43,16 @@
 use crate::connection::body::BodyMemory;
 use crate::ids::ServiceId;
 use crate::process::admin::Readiness;
-use crate::process::backends::BackendEntry;
 use crate::process::backends::Directory;
-use crate::process::backends::Effect;
 use crate::process::backends::View;
-use crate::process::catalogue;
-use crate::process::catalogue::Change;
-use crate::process::catalogue::Changes;
 use crate::process::catalogue::Decoder;
-use crate::process::catalogue::Extent;
 use crate::process::catalogue::History;
-use crate::process::catalogue::Item;
-use crate::process::catalogue::Origin;
 use crate::process::catalogue::Position;
 use crate::process::census::Census;
 use crate::process::census::Count;
-use crate::process::census::Source;
 use crate::process::extra::ExtraBudget;
 use crate::process::extra::ExtraLimits;
+use crate::process::gateway::known::Known;
 use crate::process::gateway::lines::Lines;
 use crate::process::gateway::measures::Measures;
 use crate::process::http::HttpLimits;
@@ -69,7 +60,6 @@
 use crate::process::pressure::Pressure;
 use crate::version::routing::CallerLimits;
 use crate::version::routing::Routing;
-use crate::wire::proto;
 
 /// Time that a caller that is refused waits before it comes back while this instance knows no configuration. Reading
 /// everything takes a few round trips to the platform.
@@ -78,10 +68,6 @@
 /// Time in which a caller must take some bytes of an answer; one that does not read would hold its answer in memory.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Age of the last complete read from which an instance does not tell others what it knows. A wait, a pause and an answer
-/// of a slow platform fit into it.
-const STALE_AGE: Duration = Duration::from_secs(4);
-
 /// Connections of callers that are open at one time. Each takes a descriptor and some 20 KB of buffers.
 const CALLER_CONNECTIONS: usize = 4096;
 
@@ -122,28 +108,6 @@
     pub(crate) reads: watch::Sender<()>,
 }
 
-/// What is known from the platform.
-#[derive(Debug)]
-struct Known {
-    directory: Directory,
-    /// Values as they were read, for instances that cannot read them.
-    values: IndexMap<Box<str>, Bytes>,
-    position: Option<Position>,
-    /// Whether the last read was one of another instance.
-    is_follower: bool,
-    /// Changes for instances that follow this one.
-    history: History,
-    /// Time as of which everything is known that the platform held.
-    complete_at: Option<Instant>,
-    /// Time at which another instance told its state last.
-    relayed_at: Option<Instant>,
-    routing: Option<Arc<Routing>>,
-    /// Bound on extra attempts of all instances.
-    extra: ExtraLimits,
-    is_listed: bool,
-    is_stopping: bool,
-}
-
 impl Gateway {
     /// Makes a gateway that knows nothing of the platform yet.
     #[must_use]
@@ -229,86 +193,6 @@
         }
     }
 
-    /// Takes what a read of the platform that began at `begun` brought. An answer that is older than what another instance
-    /// has told meanwhile is dropped: it would undo changes that are not read again.
-    pub fn on_platform_read(&self, read: Changes, extent: Extent, begun: Instant) {
-        let now = Instant::now();
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.directory.on_platform_read(now);
-        *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
-        if known.position.is_some_and(|own| read.position < own) {
-            info!(self.log, "platform_read_outdated"; "position" => read.position, "known" => known.position);
-            if known.relayed_at.is_none_or(|at| at < begun) {
-                // The platform does not know the position that was told, so everything is read again.
-                known.position = None;
-            }
-            return;
-        }
-        known.is_follower = read.origin != Origin::Platform;
-        let mut changed = self.apply(&mut known, read.changes, read.position, extent, now);
-        let as_of = match read.origin {
-            Origin::Platform => Some(begun),
-            Origin::Instance { age } => begun.checked_sub(age),
-        };
-        if let Some(as_of) = as_of.filter(|_| read.is_complete) {
-            known.complete_at = Some(as_of);
-            for gone in known.directory.on_caught_up(as_of) {
-                changed |= self.note(&gone.entry, Effect::Gone);
-            }
-        }
-        if changed {
-            self.put_in_effect(&known);
-        }
-        drop(known);
-        self.reads.send_replace(());
-    }
-
-    /// Takes what another instance has read up to `position`, which is all there is. It counts while this instance cannot
-    /// read the platform itself.
-    pub(crate) fn on_relayed(&self, changes: Vec<Change>, position: Position) {
-        let now = Instant::now();
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_behind = known.position.is_none_or(|own| own < position);
-        if !is_behind || !(known.directory.is_cut() || known.position.is_none()) {
-            return;
-        }
-        known.relayed_at = Some(now);
-        info!(self.log, "platform_relayed"; "position" => position, "before" => known.position, "values" => changes.len());
-        if self.apply(&mut known, changes, position, Extent::Whole, now) {
-            self.put_in_effect(&known);
-        }
-    }
-
-    /// Takes values up to `position`, and tells whether requests see a change.
-    fn apply(&self, known: &mut Known, changes: Vec<Change>, position: Position, extent: Extent, now: Instant) -> bool {
-        let items: Vec<Item> = changes.iter().filter_map(self.decoder).collect();
-        let mut changed = false;
-        if extent == Extent::Whole {
-            changed = !known.is_listed;
-            known.is_listed = true;
-            known.values.clear();
-            for id in catalogue::missing(known.directory.ids(), &items) {
-                changed |= self.on_missing(known, &id);
-            }
-        }
-        known.history.on_read(&changes, position, extent);
-        for change in changes {
-            match change.value {
-                Some(value) => {
-                    known.values.insert(change.key, value);
-                }
-                None => {
-                    known.values.swap_remove(&change.key);
-                }
-            }
-        }
-        known.position = known.position.max(Some(position));
-        for item in items {
-            changed |= self.on_item(known, item, now);
-        }
-        changed
-    }
-
     /// Returns the position up to which the platform was read, by this instance or one that told it.
     #[must_use]
     pub fn position(&self) -> Option<Position> {
@@ -327,66 +211,6 @@
         known.directory.is_cut() || known.position.is_none()
     }
 
-    /// Takes that a read of the platform failed.
-    pub fn on_platform_lost(&self) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.directory.on_platform_lost();
-        drop(known);
-        self.reads.send_replace(());
-    }
-
-    /// Returns where this instance learns of changes.
-    pub(crate) fn source(&self) -> Source {
-        self.census.lock().unwrap_or_else(PoisonError::into_inner).source()
-    }
-
-    /// Tells whether other instances follow this one.
-    pub(crate) fn is_reader(&self) -> bool {
-        self.census.lock().unwrap_or_else(PoisonError::into_inner).is_reader()
-    }
-
-    /// Bounds a wait or a pause of a read of the platform for the sake of followers.
-    pub(crate) fn bound(&self, time: Duration) -> Duration {
-        if self.is_reader() {
-            time.min(self.settings.freshness.reader_time())
-        } else {
-            time
-        }
-    }
-
-    /// Returns what an instance at `position` learns from this one.
-    fn followed(&self, position: Position) -> proto::Followed {
-        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let age = known.complete_at.map(|at| at.elapsed());
-        // An instance that is behind the asking one may reach it while that one waits.
-        let is_behind = known.position.is_some_and(|own| own < position);
-        let changes = if is_behind {
-            Some(Vec::new())
-        } else {
-            known.history.since(position)
-        };
-        let is_stale = known.is_follower || known.directory.is_cut() || age.is_none_or(|age| age > STALE_AGE);
-        let stored = changes.as_ref().filter(|_| !is_stale).into_iter().flatten();
-        proto::Followed {
-            position: known.position.unwrap_or_default(),
-            complete: self.measures.platform_lag.get() == 0.0,
-            stale: is_stale || changes.is_none(),
-            age_us: u64::try_from(age.unwrap_or_default().as_micros()).unwrap_or(u64::MAX),
-            changes: stored
-                .map(|change| proto::StoredChange {
-                    key: change.key.to_string(),
-                    value: change.value.clone(),
-                })
-                .collect(),
-        }
-    }
-
-    /// Returns the time until which entries that lapsed may still come back.
-    pub(crate) fn doubtful_until(&self) -> Option<Instant> {
-        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.directory.doubtful_until()
-    }
-
     /// Takes settings that were read again. Seeds and the bound on extra attempts take effect; the rest cannot change
     /// while the process runs.
     pub fn on_settings(&self, settings: &GatewaySettings) {
@@ -414,42 +238,6 @@
         self.readiness.set(false);
     }
 
-    fn on_item(&self, known: &mut Known, item: Item, now: Instant) -> bool {
-        match item {
-            Item::Routing(routing) => {
-                let current = known.routing.as_ref().map(|current| current.revision);
-                if !catalogue::replaces(routing.revision, current) {
-                    return false;
-                }
-                info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
-                    "routes" => routing.len(), "services" => routing.services.len());
-                self.forget_unused(&routing);
-                known.routing = Some(Arc::from(routing));
-                true
-            }
-            Item::Server(entry) => {
-                let effect = known.directory.on_entry(entry.clone(), now);
-                self.note(&entry, effect)
-            }
-            Item::ServerMissing(id) => self.on_missing(known, &id),
-            Item::Unreadable { key, server, reason } => {
-                warn!(self.log, "platform_value_unreadable"; "key" => &*key, "reason" => &*reason);
-                let backend = server.and_then(|id| known.directory.backend(&id));
-                backend.is_some_and(|backend| {
-                    let effect = known.directory.on_unreadable(&backend.entry.id);
-                    self.note(&backend.entry, effect)
-                })
-            }
-        }
-    }
-
-    fn on_missing(&self, known: &mut Known, id: &str) -> bool {
-        known.directory.backend(id).is_some_and(|backend| {
-            let effect = known.directory.on_missing(id);
-            self.note(&backend.entry, effect)
-        })
-    }
-
     /// Forgets the latencies of routes that the new version does not name, so that versions in series do not fill the
     /// memory. Budgets of services stay, since their windows go on.
     fn forget_unused(&self, routing: &Routing) {
@@ -461,31 +249,6 @@
         pressures.retain(|name, _| names.contains(&**name));
     }
 
-    /// Logs what changed for a server, and tells whether requests see it.
-    fn note(&self, server: &BackendEntry, effect: Effect) -> bool {
-        let event = match effect {
-            Effect::Unchanged => return false,
-            Effect::Joined => "server_joined",
-            Effect::Restarted => "server_restarted",
-            Effect::Leaving => "server_leaving",
-            Effect::Lapsed => "server_lapsed",
-            Effect::Gone => "server_gone",
-        };
-        info!(self.log, "server_changed"; "server" => &*server.id, "change" => event, "service" => &*server.service,
-            "data_centre" => &*server.data_centre);
-        effect != Effect::Lapsed
-    }
-
-    /// Logs which services lost their last server that can be asked, and which have one again.
-    fn note_services(&self, before: &View, view: &View) {
-        for service in before.services().filter(|service| view.servers(service).is_empty()) {
-            warn!(self.log, "service_changed"; "service" => &**service, "change" => "no_server_left");
-        }
-        for service in view.services().filter(|service| before.servers(service).is_empty()) {
-            info!(self.log, "service_changed"; "service" => &**service, "change" => "has_a_server");
-        }
-    }
-
     fn put_in_effect(&self, known: &Known) {
         let Some(routing) = &known.routing else { return };
         let instances = self.instances();
--- /dev/null
+++ b/tests/testsuite/load/replay/servers.rs
@@ -0,0 +1,103 @@
+//! Model of the servers: what a request meets there, how it waits, and how long it takes.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use super::Event;
+use super::Health;
+use super::PAUSE;
+use super::PAUSE_EVERY;
+use super::QUEUE;
+use super::Replay;
+use super::Reply;
+use super::SERVERS;
+use super::SLOTS;
+use super::WAY;
+
+impl Replay<'_> {
+    fn health(&self, server: usize) -> Health {
+        (self.load.health)(server / SERVERS, server % SERVERS, self.elapsed())
+    }
+
+    /// A request reaches its server.
+    pub(super) fn reach(&mut self, job: usize) {
+        let server = self.jobs[job].server;
+        if self.jobs[job].is_over {
+            return;
+        }
+        let instance = self.requests[self.jobs[job].request].instance;
+        let asked_before = self.asked.insert((instance, server), self.now);
+        let is_full = self.servers[server].waiting.len() >= QUEUE;
+        let reply = match self.health(server) {
+            Health::Silent => return,
+            Health::Down => Some(Reply::Unreachable),
+            Health::Failing(share) if self.rng.random_bool(share) => Some(Reply::Failure),
+            Health::Shedding(share) if self.rng.random_bool(share) => Some(Reply::Full),
+            Health::FailingFor(every) if instance.is_multiple_of(every) => Some(Reply::Failure),
+            Health::Forgetful(idle) if is_forgotten(asked_before, self.now, idle) => Some(Reply::Broken),
+            _ if is_full => Some(Reply::Full),
+            _ => None,
+        };
+        if let Some(reply) = reply {
+            return self.at(WAY, Event::Reply { job, reply });
+        }
+        self.servers[server].waiting.push_back(job);
+        self.serve(server);
+    }
+
+    /// Starts waiting work in free slots.
+    pub(super) fn serve(&mut self, server: usize) {
+        while self.servers[server].running.len() < SLOTS {
+            let Some(job) = self.servers[server].waiting.pop_front() else {
+                return;
+            };
+            let request = &self.requests[self.jobs[job].request];
+            let work = self.load.kinds[request.kind].work;
+            let factor = match self.health(server) {
+                Health::Slow(factor) => factor,
+                _ => 1.0,
+            };
+            let time = work.mul_f64(factor * self.rng.random_range(0.6..1.4));
+            let time = time + self.pause(server, time);
+            self.servers[server].running.push(job);
+            self.at(time, Event::Done { job });
+        }
+    }
+
+    /// Returns the time by which work that begins now and takes `time` is held up by the pauses of its server.
+    fn pause(&self, server: usize, time: Duration) -> Duration {
+        // Multiples of the golden ratio spread the pauses, also those of one shard.
+        let offset = PAUSE_EVERY.mul_f64((server as f64 * 0.618_034).fract());
+        let phase = (self.elapsed() + offset).as_nanos() % PAUSE_EVERY.as_nanos();
+        let phase = Duration::from_nanos(phase as u64);
+        if phase < PAUSE {
+            PAUSE - phase
+        } else if phase + time > PAUSE_EVERY {
+            PAUSE
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    pub(super) fn done(&mut self, job: usize) {
+        let server = self.jobs[job].server;
+        let before = self.servers[server].running.len();
+        self.servers[server].running.retain(|other| *other != job);
+        if self.servers[server].running.len() == before {
+            return;
+        }
+        self.serve(server);
+        let state = &self.servers[server];
+        let reply = Reply::Good(state.running.len() as u32, state.waiting.len() as u32);
+        if !matches!(self.health(server), Health::Silent | Health::Down) {
+            self.at(WAY, Event::Reply { job, reply });
+        }
+    }
+}
+
+/// Tells whether a connection that was used `before` has been idle for too long.
+fn is_forgotten(before: Option<Instant>, now: Instant, idle: Duration) -> bool {
+    before.is_some_and(|before| now - before > idle)
+}
