--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -26,6 +26,7 @@
 use crate::process::catalogue::ReadError;
 use crate::process::census::Source;
 use crate::process::gateway::Gateway;
+use crate::process::gateway::neighbours::ExchangeError;
 use crate::wire::codec::FrameCodec;
 use crate::wire::proto;
 use crate::wire::proto::frame::Body;
@@ -55,7 +56,7 @@
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
     #[error("{0}")]
-    Exchange(#[from] super::neighbours::ExchangeError),
+    Exchange(#[from] ExchangeError),
     #[error("no answer in time")]
     Silent,
     #[error("it does not read the platform now, or does not know the position")]
@@ -96,7 +97,7 @@
             match reader.next().await {
                 Some(Ok(Body::Followed(followed))) => Ok((reader, followed)),
                 Some(Err(error)) => Err(error.into()),
-                Some(Ok(_)) | None => Err(super::neighbours::ExchangeError::Closed),
+                Some(Ok(_)) | None => Err(ExchangeError::Closed),
             }
         };
         let exchanged = tokio::time::timeout(time, exchange).await;
--- /dev/null
+++ b/tests/testsuite/history.rs
@@ -0,0 +1,51 @@
+//! History of changes for instances that follow another one.
+
+use pimentoflow::process::catalogue::Change;
+use pimentoflow::process::catalogue::Extent;
+use pimentoflow::process::catalogue::History;
+
+fn change(key: &str, bytes: usize) -> Change {
+    Change {
+        key: key.into(),
+        value: Some(vec![0; bytes].into()),
+    }
+}
+
+fn keys(history: &History, position: u64) -> Option<Vec<Box<str>>> {
+    let changes = history.since(position)?;
+    Some(changes.into_iter().map(|change| change.key).collect())
+}
+
+/// Guards against a follower that misses changes: those after its position come in their order, and one whose position is
+/// not covered is told so.
+#[test]
+fn a_follower_gets_all_changes_after_its_position() {
+    let mut history = History::default();
+    assert_eq!(keys(&history, 5), None);
+    history.on_read(&[change("whole", 1)], 10, Extent::Whole);
+    assert_eq!(keys(&history, 9), None);
+    assert_eq!(keys(&history, 10), Some(Vec::new()));
+    history.on_read(&[change("a", 1)], 12, Extent::Changes);
+    history.on_read(&[], 13, Extent::Changes);
+    history.on_read(&[change("b", 1), change("a", 1)], 15, Extent::Changes);
+    assert_eq!(keys(&history, 10), Some(vec!["a".into(), "b".into(), "a".into()]));
+    assert_eq!(keys(&history, 12), Some(vec!["b".into(), "a".into()]));
+    assert_eq!(keys(&history, 15), Some(Vec::new()));
+    history.on_read(&[change("other", 1)], 20, Extent::Whole);
+    assert_eq!(keys(&history, 15), None);
+}
+
+/// Guards against a history that grows beyond what one frame of 4 MiB holds, and against one that forgets silently.
+#[test]
+fn the_history_fits_into_a_frame() {
+    const FRAME_BYTES: usize = 4 * 1024 * 1024;
+    let mut history = History::default();
+    history.on_read(&[], 1, Extent::Whole);
+    for position in 2..20 {
+        history.on_read(&[change("config", 500_000)], position, Extent::Changes);
+    }
+    assert_eq!(keys(&history, 1), None);
+    let kept = (1..20).find_map(|position| history.since(position)).unwrap();
+    let bytes: usize = kept.iter().map(|change| change.value.as_ref().unwrap().len()).sum();
+    assert!(bytes > 0 && bytes < FRAME_BYTES, "{bytes} bytes");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod gateway_lines;
 mod harness;
+mod history;
 mod lane;
 mod lane_model;
 mod load;
