gateway: servers that say they are leaving, or want no requests for a time, get none

Both are taken from any answer (part, whole answer, refusal, failure) for the incarnation that gave it, and every choice of a server passes over it at once, also as the last one of its shard. A server whose entry goes and comes back keeps what it said; a restarted one does not. An answer with status 421 comes from another server and says nothing. A request that is refused for want of servers gets the time at which enough of its shards have one again.

Ruled out: a list of marked incarnations beside the directory, which would have to be kept in step with it; the servers that left are remembered whole instead. Telling other instances: each hears it with its own next answer.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -5,6 +5,7 @@
 //! also lapse when their owner lives. See "Backend servers" in `docs/design/platform.md`.
 
 pub mod choice;
+pub mod notice;
 pub mod place;
 pub mod standing;
 
@@ -36,6 +37,9 @@
 /// Least number of connections of this instance to one server.
 const LEAST_CONNECTIONS: u32 = 1;
 
+/// Servers that left the directory and are remembered, in case that their entry comes back.
+const DEPARTED_MAX: usize = 4096;
+
 /// What the platform says of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendEntry {
@@ -57,6 +61,13 @@
     pub born: u64,
 }
 
+impl BackendEntry {
+    /// Tells whether two entries are of the same start of a server.
+    fn is_incarnation_of(&self, other: &Self) -> bool {
+        self.born == other.born && self.address == other.address && self.service == other.service
+    }
+}
+
 /// A backend server in use. Requests that hold it keep it after it left the directory.
 #[derive(Debug)]
 pub struct Backend {
@@ -120,11 +131,19 @@
     lapsed: bool,
 }
 
+impl Known {
+    fn is_usable(&self) -> bool {
+        !self.leaving && !self.backend.standing().is_leaving()
+    }
+}
+
 /// Decides which servers may be asked.
 #[derive(Debug)]
 pub struct Directory {
     data_centre: DataCentreId,
     servers: IndexMap<SearcherId, Known>,
+    /// Servers whose entries are gone. What an incarnation said of itself holds to its end, also when its entry comes back.
+    departed: IndexMap<SearcherId, Arc<Backend>>,
     /// Time until which a missing entry may still come back; `None` when all that lapsed were judged.
     doubtful_until: Option<Instant>,
     /// Whether the platform cannot be read now.
@@ -138,6 +157,7 @@
         Self {
             data_centre,
             servers: IndexMap::new(),
+            departed: IndexMap::new(),
             doubtful_until: None,
             is_cut: false,
         }
@@ -149,6 +169,12 @@
         self.is_cut
     }
 
+    /// Tells whether entries that are missing now may still come back.
+    #[must_use]
+    pub const fn is_in_doubt(&self) -> bool {
+        self.is_cut || self.doubtful_until.is_some()
+    }
+
     /// Takes that a read of the platform failed.
     pub fn on_platform_lost(&mut self) {
         self.is_cut = true;
@@ -165,30 +191,24 @@
 
     /// Takes the entry of a server.
     pub fn on_entry(&mut self, entry: BackendEntry, now: Instant) -> Effect {
-        if let Some(known) = self.servers.get_mut(&entry.id) {
-            let before = &known.backend.entry;
-            let same = before.born == entry.born && before.address == entry.address && before.service == entry.service;
-            if same {
-                known.lapsed = false;
-                let effect = match (known.leaving, entry.leaving) {
-                    (false, true) => Effect::Leaving,
-                    (true, false) => Effect::Joined,
-                    _ => Effect::Unchanged,
-                };
-                known.leaving = entry.leaving;
-                return effect;
-            }
+        if let Some(known) = self.servers.get_mut(&entry.id)
+            && known.backend.entry.is_incarnation_of(&entry)
+        {
+            known.lapsed = false;
+            let effect = match (known.leaving, entry.leaving) {
+                (false, true) => Effect::Leaving,
+                (true, false) => Effect::Joined,
+                _ => Effect::Unchanged,
+            };
+            known.leaving = entry.leaving;
+            return effect;
         }
         let leaving = entry.leaving;
         let id = entry.id.clone();
-        let backend = Backend {
-            is_local: entry.data_centre == self.data_centre,
-            pool: Pool::new(entry.address),
-            standing: Mutex::new(Standing::new(entry.slots, entry.warmup, now)),
-            entry,
-        };
+        let departed = self.departed.shift_remove(&id);
+        let returned = departed.filter(|departed| departed.entry.is_incarnation_of(&entry));
         let known = Known {
-            backend: Arc::new(backend),
+            backend: returned.unwrap_or_else(|| Arc::new(self.backend_of(entry, now))),
             leaving,
             lapsed: false,
         };
@@ -201,7 +221,7 @@
 
     /// Takes that the entry of a server is missing.
     pub fn on_missing(&mut self, id: &str) -> Effect {
-        let doubtful = self.is_cut || self.doubtful_until.is_some();
+        let doubtful = self.is_in_doubt();
         let Some(known) = self.servers.get_mut(id) else {
             return Effect::Unchanged;
         };
@@ -209,15 +229,38 @@
             known.lapsed = true;
             return Effect::Lapsed;
         }
-        self.servers.shift_remove(id);
+        self.remove(id);
         Effect::Gone
     }
 
+    fn backend_of(&self, entry: BackendEntry, now: Instant) -> Backend {
+        Backend {
+            is_local: entry.data_centre == self.data_centre,
+            pool: Pool::new(entry.address),
+            standing: Mutex::new(Standing::new(entry.slots, entry.warmup, now)),
+            entry,
+        }
+    }
+
+    /// Removes a server, and remembers it. Tells whether it was known.
+    fn remove(&mut self, id: &str) -> bool {
+        let Some(known) = self.servers.shift_remove(id) else {
+            return false;
+        };
+        known.backend.pool.close_idle();
+        self.departed.insert(id.into(), known.backend);
+        if self.departed.len() > DEPARTED_MAX {
+            self.departed.shift_remove_index(0);
+        }
+        true
+    }
+
     /// Takes that the name holds nothing that can be read. It names no server to use.
     pub fn on_unreadable(&mut self, id: &str) -> Effect {
-        match self.servers.shift_remove(id) {
-            Some(_) => Effect::Gone,
-            None => Effect::Unchanged,
+        if self.remove(id) {
+            Effect::Gone
+        } else {
+            Effect::Unchanged
         }
     }
 
@@ -248,7 +291,7 @@
         let lapsed = self.servers.iter().filter(|(_, known)| known.lapsed);
         let gone: Vec<Arc<Backend>> = lapsed.map(|(_, known)| Arc::clone(&known.backend)).collect();
         for backend in &gone {
-            self.servers.shift_remove(&backend.entry.id);
+            self.remove(&backend.entry.id);
         }
         gone
     }
@@ -257,7 +300,7 @@
     #[must_use]
     pub fn view(&self, routing: Option<&Routing>, instances: Count) -> View {
         let mut services: IndexMap<ServiceId, Vec<Arc<Backend>>> = IndexMap::new();
-        for known in self.servers.values().filter(|known| !known.leaving) {
+        for known in self.servers.values().filter(|known| known.is_usable()) {
             let backend = &known.backend;
             let limits = routing.and_then(|routing| routing.services.get(&backend.entry.service));
             let all = limits.map_or(DEFAULT_CONNECTIONS, |limits| limits.connections);
--- a/src/process/backends/place.rs
+++ b/src/process/backends/place.rs
@@ -79,6 +79,9 @@
             continue;
         }
         let standing = server.standing();
+        if standing.is_leaving() || standing.is_held(now) {
+            continue;
+        }
         // One probe at a time shows whether a server that failed is back.
         if standing.is_avoided(now) || (standing.is_doubtful() && standing.in_flight() > 0) {
             continue;
@@ -111,17 +114,29 @@
     }
 }
 
+/// Returns the time from which a server may be asked again as far as is known; `None` when none of them says so.
+#[must_use]
+pub fn free_at(servers: &[Arc<Backend>]) -> Option<Instant> {
+    servers.iter().filter_map(|server| server.standing().free_at()).min()
+}
+
 /// Describes why servers take no attempt, for the log: for each its name, the requests in flight and their limit, and
-/// `avoided` after a failure or `no_connection` when all connections are in use.
+/// `leaving` or `held` at its own word, `avoided` after a failure, or `no_connection` when all connections are in use.
 #[must_use]
 pub fn describe(servers: &[Arc<Backend>], wanted: Wanted, now: Instant) -> String {
     let described = servers.iter().map(|server| {
         let standing = server.standing();
         let limit = flight_limit(server, &standing, wanted, now);
-        let state = match (standing.is_avoided(now), server.pool.has_room()) {
-            (true, _) => " avoided",
-            (false, false) => " no_connection",
-            (false, true) => "",
+        let state = if standing.is_leaving() {
+            " leaving"
+        } else if standing.is_held(now) {
+            " held"
+        } else if standing.is_avoided(now) {
+            " avoided"
+        } else if server.pool.has_room() {
+            ""
+        } else {
+            " no_connection"
         };
         format!("{} {}/{limit}{state}", server.entry.id, standing.in_flight())
     });
--- a/src/process/backends/standing.rs
+++ b/src/process/backends/standing.rs
@@ -114,6 +114,10 @@
     failures: u32,
     avoid_until: Option<Instant>,
     full_until: Option<Instant>,
+    /// Time until which the server wants no requests of this instance.
+    held_until: Option<Instant>,
+    /// Whether the server said that it is leaving, which holds until its incarnation ends.
+    is_leaving: bool,
     cold_until: Instant,
 }
 
@@ -134,6 +138,8 @@
             failures: 0,
             avoid_until: None,
             full_until: None,
+            held_until: None,
+            is_leaving: false,
             cold_until: now + warmup,
         }
     }
@@ -221,6 +227,18 @@
         self.full_until = Some(now + FULL_TIME);
     }
 
+    /// Takes that the server wants no requests of this instance for `time`.
+    pub fn on_hold(&mut self, time: Duration, now: Instant) {
+        self.held_until = self.held_until.max(Some(now + time));
+    }
+
+    /// Takes that the server said that it is leaving. Tells whether that is new.
+    pub const fn on_leaving(&mut self) -> bool {
+        let is_new = !self.is_leaving;
+        self.is_leaving = true;
+        is_new
+    }
+
     /// Takes a failure: no connection, a connection that broke, or an answer that did not come.
     pub fn on_failure(&mut self, now: Instant) {
         let time = AVOID_FIRST.saturating_mul(1 << self.failures.min(8)).min(AVOID_MAX);
@@ -228,6 +246,24 @@
         self.avoid_until = Some(now + time);
     }
 
+    /// Tells whether the server said that it is leaving.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Tells whether the server wants no requests of this instance now.
+    #[must_use]
+    pub fn is_held(&self, now: Instant) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the time from which the server may be asked as far as is known now; `None` when it is leaving.
+    #[must_use]
+    pub fn free_at(&self) -> Option<Instant> {
+        (!self.is_leaving).then(|| self.held_until.max(self.avoid_until))?
+    }
+
     /// Tells whether the server is avoided after failures.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -110,6 +110,9 @@
         let server = &self.target.server;
         let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
         let answer = server.pool.exchange(exchange, prepare).await;
+        if let Ok(answer) = &answer {
+            self.take_notices(answer);
+        }
         let judged = self.judge(answer);
         let is_extra = matches!(self.send.cause, Cause::Hedge | Cause::Retry);
         if judged.ending == Ending::Unsent && is_extra {
@@ -201,6 +204,23 @@
         }
     }
 
+    /// Takes what the server says of itself in an answer, whatever the answer is. An answer of another server, which
+    /// has the address now, says nothing of the one that is meant.
+    fn take_notices(&self, answer: &Answer) {
+        let gateway = &self.target.gateway;
+        let server = &self.target.server;
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if let Some(time) = head::hold_time(answer.status, &answer.headers) {
+            server.standing().on_hold(time, Instant::now());
+            gateway.on_server_hold(server, time);
+        }
+        if head::is_leaving(&answer.headers, &gateway.names) && server.standing().on_leaving() {
+            gateway.on_server_leaving(server);
+        }
+    }
+
     /// Counts the end, and logs it when it is not an answer.
     fn report(&self, judged: &Judged) {
         let gateway = &self.target.gateway;
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -55,8 +55,7 @@
 /// servers have moved on.
 const ROOM_RETRY_SHARE: f64 = 0.5;
 
-/// Time after which a caller should come back when a service has no server that can be asked. Failed servers are probed
-/// after 0.25 to 2 s.
+/// Time after which a caller should come back when it is not known when a server can be asked again.
 const SERVER_RETRY: Duration = Duration::from_millis(400);
 
 /// Parts of one request whose servers are described in the log. Two missing parts are enough to end most requests.
@@ -370,12 +369,26 @@
                 let after = self.route.objective.mul_f64(ROOM_RETRY_SHARE);
                 answer::not_run("all backend servers are busy\n", after)
             }
-            Lack::NoServer | Lack::Failed => answer::not_run(
-                "no backend server can be asked; the request has not run\n",
-                SERVER_RETRY,
-            ),
+            Lack::NoServer | Lack::Failed => {
+                let text = "no backend server can be asked; the request has not run\n";
+                answer::not_run(text, self.return_time(Instant::now()))
+            }
         }
     }
+
+    /// Returns the time after which enough of the missing parts may have a server that can be asked.
+    fn return_time(&self, now: Instant) -> Duration {
+        let free_in = |part: usize| {
+            let servers = self.effective.view.servers(&self.services[part]);
+            let free = place::free_at(servers).map(|at| at.saturating_duration_since(now));
+            free.filter(|time| !time.is_zero()).unwrap_or(SERVER_RETRY)
+        };
+        let mut times: Vec<Duration> = self.fanout.given_up().map(|(part, _)| free_in(part)).collect();
+        times.sort_unstable();
+        let wanted = self.fanout.wanted_back().min(times.len());
+        let time = wanted.checked_sub(1).and_then(|last| times.get(last));
+        time.copied().unwrap_or(SERVER_RETRY)
+    }
 }
 
 /// Lets attempts that are no longer needed end by themselves for a while, for the sake of their connections and of what
--- a/src/process/gateway/head.rs
+++ b/src/process/gateway/head.rs
@@ -8,10 +8,12 @@
 use http::HeaderValue;
 use http::Method;
 use http::Request;
+use http::StatusCode;
 use http::Uri;
 use http::header;
 use http_body_util::Full;
 
+use crate::process::backends::notice;
 use crate::process::backends::standing::LoadFigures;
 
 /// Names of the headers that a platform uses between callers, this tier and backend servers.
@@ -29,6 +31,8 @@
     pub load: HeaderName,
     /// Statement of a backend server that it did not run the request.
     pub not_run: HeaderName,
+    /// Statement of a backend server that it is leaving, under each name that it may have.
+    pub leaving: [HeaderName; 2],
     /// Signatures of the parts in an answer over shards.
     pub part_signatures: HeaderName,
     /// Number of shards that an answer leaves out.
@@ -98,6 +102,20 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
+/// Tells whether the backend server that made an answer is leaving.
+pub(crate) fn is_leaving(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    let values = names.leaving.iter().filter_map(|name| headers.get(name));
+    values.into_iter().any(|value| value.as_bytes().trim_ascii() != b"0")
+}
+
+/// Returns the time for which the backend server that turned a request away wants no more of them.
+pub(crate) fn hold_time(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        return None;
+    }
+    notice::hold_time(headers.get(header::RETRY_AFTER)?.to_str().ok()?)
+}
+
 /// Returns the load figures of an answer.
 pub(crate) fn load_figures(headers: &HeaderMap, name: &HeaderName) -> Option<LoadFigures> {
     let text = headers.get(name)?.to_str().ok()?;
--- a/src/process/gateway/known.rs
+++ b/src/process/gateway/known.rs
@@ -12,6 +12,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::process::backends::Backend;
 use crate::process::backends::BackendEntry;
 use crate::process::backends::Directory;
 use crate::process::backends::Effect;
@@ -27,6 +28,7 @@
 use crate::process::census::Source;
 use crate::process::extra::ExtraLimits;
 use crate::process::gateway::Gateway;
+use crate::process::gateway::lines::Topic;
 use crate::version::routing::Routing;
 use crate::wire::proto;
 
@@ -233,6 +235,25 @@
         })
     }
 
+    /// Takes that a server has said for the first time that it is leaving.
+    pub(super) fn on_server_leaving(&self, server: &Backend) {
+        let entry = &server.entry;
+        info!(self.log, "server_changed"; "server" => &*entry.id, "change" => "server_said_leaving",
+            "service" => &*entry.service, "data_centre" => &*entry.data_centre);
+        self.measures.count_notice("leaving");
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        self.put_in_effect(&known);
+    }
+
+    /// Takes that a server wants no requests of this instance for `time`.
+    pub(super) fn on_server_hold(&self, server: &Backend, time: Duration) {
+        self.measures.count_notice("hold");
+        if self.lines.allow(&self.log, Topic::Trouble) {
+            info!(self.log, "server_held"; "server" => &*server.entry.id, "service" => &*server.entry.service,
+                "ms" => time.as_millis() as u64);
+        }
+    }
+
     /// Logs what changed for a server, and tells whether requests see it.
     fn note(&self, server: &BackendEntry, effect: Effect) -> bool {
         let event = match effect {
--- a/src/process/gateway/measures.rs
+++ b/src/process/gateway/measures.rs
@@ -31,6 +31,13 @@
     pub(crate) ending: &'static str,
 }
 
+/// Labels of what a backend server said of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct NoticeLabels {
+    /// `leaving` once for each server, or `hold` for each time that it asked for.
+    pub(crate) notice: &'static str,
+}
+
 /// Metrics of a gateway.
 #[derive(Clone)]
 pub(crate) struct Measures {
@@ -38,6 +45,7 @@
     pub(crate) latency: Family<RouteLabels, Histogram, fn() -> Histogram>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) denied: Counter,
+    pub(crate) notices: Family<NoticeLabels, Counter>,
     pub(crate) revision: Gauge,
     /// Seconds since which the newest change of the platform has not been reached; 0 when all is known.
     pub(crate) platform_lag: Gauge<f64, AtomicU64>,
@@ -56,6 +64,7 @@
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             attempts: Family::default(),
             denied: Counter::default(),
+            notices: Family::default(),
             revision: Gauge::default(),
             platform_lag: Gauge::default(),
         };
@@ -68,6 +77,11 @@
             "Extra attempts that the budget denied",
             measures.denied.clone(),
         );
+        registry.register(
+            "server_notices",
+            "Backend servers that said that they are leaving, or want no requests for a time",
+            measures.notices.clone(),
+        );
         registry.register(
             "revision",
             "Configuration revision in effect",
@@ -81,6 +95,10 @@
         (measures, registry)
     }
 
+    pub(crate) fn count_notice(&self, notice: &'static str) {
+        self.notices.get_or_create(&NoticeLabels { notice }).inc();
+    }
+
     pub(crate) fn record(&self, service: &str, outcome: &'static str, latency: Duration) {
         let labels = RouteLabels {
             service: service.into(),
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -226,6 +226,12 @@
         })
     }
 
+    /// Returns the number of parts given up that would have to come back for an answer.
+    #[must_use]
+    pub const fn wanted_back(&self) -> usize {
+        (self.missing + self.limits.least).saturating_sub(self.parts.len())
+    }
+
     /// Returns the parts that are missing now with the reasons, for the log: `late` where an attempt is in
     /// flight, and `unsent` where none was made yet.
     #[must_use]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod log_queue;
 mod membership;
 mod node;
+mod notices;
 mod ownership;
 mod pace;
 mod records;
