catalogue: an answer long after its wait puts lapsed entries in doubt

Instances with a waiting read see no failure; its first answer removes 36 living servers at once, and ten services have none for a second.

An answer of the platform that comes more than 300 ms after the time that its read asked for counts as the end of an outage: entries that are missing then are in doubt for 2 s, as after a read that failed. While entries are in doubt already it changes nothing, so that a slow platform does not put off their end.

Test: life::a_read_that_waits_through_an_outage_removes_no_living_servers.

--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -41,6 +41,10 @@
 /// Longest time for which a read waits for changes, so that a connection that died without a word is noticed.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
+/// Time beyond its wait after which an answer shows that the platform was away while the read waited. It leaves room for a
+/// platform that is only slow for a moment.
+const OVERDUE: Duration = Duration::from_millis(300);
+
 /// Share of the time in which a change has to be in effect that may pass before it is read.
 const PAUSE_SHARE: f64 = 1.0 / 3.0;
 
@@ -278,17 +282,15 @@
         // Another instance may have told what happened while the platform could not be read here.
         let position = gateway.position().filter(|_| !is_forgotten);
         let begun = Instant::now();
+        let wait = if gateway.is_cut() {
+            // Nothing may have changed; that the platform is back must be noticed all the same.
+            LEAST_WAIT
+        } else {
+            gateway.bound(freshness.wait(gateway.doubtful_until(), begun))
+        };
         let (extent, read) = match position {
             None => (Extent::Whole, catalogue.read_all().await),
-            Some(position) => {
-                let wait = if gateway.is_cut() {
-                    // Nothing may have changed; that the platform is back must be noticed all the same.
-                    LEAST_WAIT
-                } else {
-                    freshness.wait(gateway.doubtful_until(), begun)
-                };
-                (Extent::Changes, catalogue.read_changes(position, wait).await)
-            }
+            Some(position) => (Extent::Changes, catalogue.read_changes(position, wait).await),
         };
         match read {
             Ok(read) => {
@@ -299,6 +301,9 @@
                 is_forgotten = false;
                 lag.on_read(&gateway, &read, begun);
                 let (outcome, origin) = (read.outcome(), read.origin);
+                if extent == Extent::Changes && origin == Origin::Platform && begun.elapsed() > wait + OVERDUE {
+                    gateway.on_platform_overdue(begun.elapsed());
+                }
                 gateway.on_platform_read(read, extent, begun);
                 // Reads of another instance cost nothing, and that one has paused.
                 if origin == Origin::Platform {
--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -141,7 +141,7 @@
                 }
             }
         }
-        self.platform.read_changes(position, self.gateway.bound(wait)).await
+        self.platform.read_changes(position, wait).await
     }
 }
 
--- a/src/process/gateway/known.rs
+++ b/src/process/gateway/known.rs
@@ -147,6 +147,16 @@
         self.reads.send_replace(());
     }
 
+    /// Takes that the platform answered a read that waited, long after its wait was over. It was away meanwhile, so entries
+    /// may have lapsed whose owners live.
+    pub(crate) fn on_platform_overdue(&self, elapsed: Duration) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if !known.directory.is_in_doubt() {
+            info!(self.log, "platform_overdue"; "ms" => elapsed.as_millis() as u64);
+            known.directory.on_platform_lost();
+        }
+    }
+
     /// Returns where this instance learns of changes.
     pub(crate) fn source(&self) -> Source {
         self.census.lock().unwrap_or_else(PoisonError::into_inner).source()
