gateway: a data centre that is cut off sends its callers to another one

Cause: in a cut, an instance has the servers of its own data centre alone, while callers reach all data centres.

A cut is suspected after three unanswered attempts at other data centres, and believed when no instance of any of them takes a connection and the platform cannot be read at once. The instance is not ready then, and asks callers to leave, if its own servers cannot answer some route, or if its answers stay poor a second later. It is ready as soon as anything is reached. An outage of servers, of the platform or of both, and a cut between data centres that reach the platform, change nothing.

--- a/src/process.rs
+++ b/src/process.rs
@@ -15,6 +15,7 @@
 pub mod gateway;
 pub mod holdings;
 pub mod http;
+pub mod isolation;
 pub mod leaf;
 pub mod log;
 pub mod membership;
--- a/src/process/catalogue.rs
+++ b/src/process/catalogue.rs
@@ -282,15 +282,22 @@
         // Another instance may have told what happened while the platform could not be read here.
         let position = gateway.position().filter(|_| !is_forgotten);
         let begun = Instant::now();
-        let wait = if gateway.is_cut() {
-            // Nothing may have changed; that the platform is back must be noticed all the same.
+        let wait = if gateway.is_cut() || gateway.is_checking() {
+            // Nothing may have changed; whether the platform can be read must be noticed all the same.
             LEAST_WAIT
         } else {
             gateway.bound(freshness.wait(gateway.doubtful_until(), begun))
         };
         let (extent, read) = match position {
             None => (Extent::Whole, catalogue.read_all().await),
-            Some(position) => (Extent::Changes, catalogue.read_changes(position, wait).await),
+            Some(position) => {
+                let read = tokio::select! {
+                    biased;
+                    read = catalogue.read_changes(position, wait) => read,
+                    () = gateway.rereads.notified() => continue,
+                };
+                (Extent::Changes, read)
+            }
         };
         match read {
             Ok(read) => {
--- a/src/process/census.rs
+++ b/src/process/census.rs
@@ -48,6 +48,10 @@
 /// about every `known / 64` rounds of 2 s, and three such times allow for chance.
 const FORGET_EACH: Duration = Duration::from_millis(95);
 
+/// Instances of one other data centre that are tried when a cut is suspected, and such data centres.
+const TRIED_EACH: usize = 2;
+const TRIED_DATA_CENTRES: usize = 4;
+
 /// Instances of a data centre from which on one reads the platform for the others. With fewer it saves no calls, since it
 /// reads more often.
 const READER_FROM: usize = 5;
@@ -187,6 +191,23 @@
         std::iter::once(own).chain(others).collect()
     }
 
+    /// Returns instances of other data centres, a few of each.
+    #[must_use]
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let mut others: IndexMap<&DataCentreId, Vec<SocketAddr>> = IndexMap::new();
+        for member in self
+            .members
+            .values()
+            .filter(|member| member.data_centre != self.data_centre)
+        {
+            let near = others.entry(&member.data_centre).or_default();
+            if near.len() < TRIED_EACH {
+                near.push(member.address);
+            }
+        }
+        others.into_values().take(TRIED_DATA_CENTRES).flatten().collect()
+    }
+
     /// Returns the instance for the next exchange.
     pub fn partner(&mut self, rng: &mut SmallRng) -> Option<SocketAddr> {
         let round = self.rounds;
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -14,6 +14,7 @@
 mod measures;
 mod neighbours;
 mod program;
+mod reach;
 mod request;
 mod settings;
 
@@ -30,6 +31,7 @@
 use indexmap::IndexSet;
 use slog::Logger;
 use slog::info;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 pub use head::HeaderNames;
@@ -56,6 +58,7 @@
 use crate::process::gateway::lines::Lines;
 use crate::process::gateway::measures::Measures;
 use crate::process::http::HttpLimits;
+use crate::process::isolation::Isolation;
 use crate::process::pace::Pace;
 use crate::process::pressure::Pressure;
 use crate::version::routing::CallerLimits;
@@ -102,6 +105,11 @@
     /// Memory for the bodies of all answers of backend servers.
     pub(crate) bodies: BodyMemory,
     lines: Lines,
+    isolation: Mutex<Isolation>,
+    /// Wakes the task that looks whether the data centre is cut off.
+    suspicions: Notify,
+    /// Ends a read of the platform that waits, so that it is known at once whether the platform can be read.
+    pub(crate) rereads: Notify,
     /// Time of the last successful read of the platform.
     read_at: Mutex<Option<Instant>>,
     /// Signals the end of a read of the platform to the instances that follow this one.
@@ -154,6 +162,9 @@
             in_flight: AtomicUsize::new(0),
             bodies: BodyMemory::default(),
             lines: Lines::new(Instant::now()),
+            isolation: Mutex::default(),
+            suspicions: Notify::new(),
+            rereads: Notify::new(),
             read_at: Mutex::new(None),
             reads: watch::Sender::new(()),
         };
@@ -266,9 +277,16 @@
         self.measures
             .revision
             .set(i64::try_from(routing.revision).unwrap_or(i64::MAX));
-        if known.is_listed && !known.is_stopping && !self.readiness.get() {
-            info!(self.log, "ready"; "revision" => routing.revision);
-            self.readiness.set(true);
+        self.update_readiness(known);
+    }
+
+    /// Tells the balancer whether this instance takes new connections.
+    fn update_readiness(&self, known: &Known) {
+        let Some(routing) = &known.routing else { return };
+        let is_ready = known.is_listed && !known.is_stopping && !self.sends_callers_away();
+        if is_ready != self.readiness.get() {
+            info!(self.log, "ready"; "is_ready" => is_ready, "revision" => routing.revision);
+            self.readiness.set(is_ready);
         }
     }
 
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one backend server: sends it, and learns from how it ends.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -35,6 +36,9 @@
 /// Greatest body of a part, in bytes: a thousand times the usual one.
 const PART_BYTES: usize = 1024 * 1024;
 
+/// Wait without an answer of another data centre that tells against the way there.
+const UNANSWERED: Duration = Duration::from_millis(300);
+
 /// What an attempt needs of its request.
 pub(super) struct Attempted {
     pub(super) gateway: Arc<Gateway>,
@@ -110,6 +114,7 @@
         let server = &self.target.server;
         let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
         let answer = server.pool.exchange(exchange, prepare).await;
+        self.note_reach(&answer);
         if let Ok(answer) = &answer {
             self.take_notices(answer);
         }
@@ -207,6 +212,21 @@
         }
     }
 
+    /// Takes what the exchange shows of the way to another data centre.
+    fn note_reach(&self, answer: &Result<Answer, ExchangeError>) {
+        if self.target.server.is_local {
+            return;
+        }
+        match answer {
+            Ok(_) => self.target.gateway.on_remote_answer(),
+            Err(ExchangeError::TimedOut) => self.target.gateway.on_remote_failure(),
+            Err(ExchangeError::Connect(error)) if error.kind() == io::ErrorKind::TimedOut => {
+                self.target.gateway.on_remote_failure();
+            }
+            Err(_) => {}
+        }
+    }
+
     /// Takes what the server says of itself in an answer, whatever the answer is. An answer of another server, which
     /// has the address now, says nothing of the one that is meant.
     fn take_notices(&self, answer: &Answer) {
@@ -254,6 +274,10 @@
             let mut standing = self.target.server.standing();
             standing.end(self.number);
             standing.on_abandoned(waited, self.usual, now);
+            drop(standing);
+            if !self.target.server.is_local && waited >= UNANSWERED {
+                self.target.gateway.on_remote_failure();
+            }
         }
     }
 }
--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -78,7 +78,7 @@
     /// is older than a read of the platform, and a server that is gone would be asked for longer.
     fn source(&self, now: Instant) -> Option<SocketAddr> {
         let is_fallback = self.fallback_until.is_some_and(|until| now < until);
-        if is_fallback || self.gateway.doubtful_until().is_some() {
+        if is_fallback || self.gateway.doubtful_until().is_some() || self.gateway.is_checking() {
             return None;
         }
         match self.gateway.source() {
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -277,6 +277,9 @@
     fn report(&self, outcome: &'static str, status: Option<StatusCode>) {
         let gateway = &self.gateway;
         let elapsed = self.started.elapsed();
+        if status.is_some() {
+            gateway.on_value(self.value(outcome, elapsed));
+        }
         let service = self.services.first().map_or("", |service| service);
         gateway.measures.record(service, outcome, elapsed);
         let topic = if outcome == "ok" { Topic::Usual } else { Topic::Trouble };
@@ -291,6 +294,16 @@
             "placed" => %self.placed(), "again" => %self.sent_again());
     }
 
+    /// Returns the value of the answer to the caller, from 0 to 1.
+    fn value(&self, outcome: &'static str, elapsed: Duration) -> f64 {
+        let is_answer = matches!(outcome, "ok" | "partial" | "passed");
+        if !is_answer || elapsed > self.route.objective {
+            return 0.0;
+        }
+        let share = 1.0 - self.fanout.missing() as f64 / self.services.len().max(1) as f64;
+        share * share
+    }
+
     /// Describes where parts were sent first, for the log: `part@server`.
     fn placed(&self) -> impl fmt::Display {
         fmt::from_fn(|out| {
--- a/src/process/gateway/known.rs
+++ b/src/process/gateway/known.rs
@@ -63,6 +63,12 @@
     /// has told meanwhile is dropped: it would undo changes that are not read again.
     pub fn on_platform_read(&self, read: Changes, extent: Extent, begun: Instant) {
         let now = Instant::now();
+        if read.origin == Origin::Platform {
+            self.isolation
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .on_platform_judged();
+        }
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_read(now);
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
@@ -141,6 +147,10 @@
 
     /// Takes that a read of the platform failed.
     pub fn on_platform_lost(&self) {
+        self.isolation
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .on_platform_judged();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_lost();
         drop(known);
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -33,6 +33,7 @@
 use crate::process::gateway::HeaderNames;
 use crate::process::gateway::followers::Following;
 use crate::process::gateway::neighbours;
+use crate::process::gateway::reach;
 use crate::process::http::Handler;
 use crate::process::http::HttpLimits;
 use crate::process::http::HttpServer;
@@ -164,6 +165,7 @@
         "metrics" => %settings.metrics, "data_centre" => &*settings.data_centre);
     tasks.spawn(neighbours::answer(Arc::clone(&gateway), peers));
     tasks.spawn(neighbours::ask(Arc::clone(&gateway), SmallRng::from_rng(&mut rng)));
+    tasks.spawn(reach::watch(Arc::clone(&gateway)));
     let catalogue = Following::new(catalogue, Arc::clone(&gateway));
     tasks.spawn(catalogue::run(catalogue, Arc::clone(&gateway), rng));
     Ok(Running {
--- a/src/process/http.rs
+++ b/src/process/http.rs
@@ -119,6 +119,14 @@
         }
     }
 
+    /// Tells whether callers should leave after their current request.
+    fn sends_callers_away(&self) -> bool {
+        match self {
+            Self::Routes(_) => false,
+            Self::Gateway(gateway) => gateway.sends_callers_away(),
+        }
+    }
+
     async fn answer(&self, peer: SocketAddr, request: Request<Incoming>) -> Response {
         match self {
             Self::Routes(router) => call(router, peer, request).await,
@@ -267,7 +275,7 @@
             let phase = phase.clone();
             async move {
                 let mut response = handler.answer(peer, request).await;
-                if *phase.borrow() >= ServePhase::Closing {
+                if *phase.borrow() >= ServePhase::Closing || handler.sends_callers_away() {
                     response
                         .headers_mut()
                         .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Returns the services that get requests.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let usable = self.shares.iter().filter(|(_, weight)| *weight > 0.0);
+        usable.map(|(service, _)| service)
+    }
+
     /// Deals the next request.
     #[must_use]
     pub fn deal(&self) -> Option<&ServiceId> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod gateway_lines;
 mod harness;
 mod history;
+mod isolation;
 mod lane;
 mod lane_model;
 mod load;
