gateway: a long wait for another data centre is noted while it lasts

Cause: an attempt without an answer told against the way to its data centre only when it was given up, which takes a request's whole time where an answer depends on it. The wait counts after 300 ms now, the platform is read only after the instances of other data centres were tried, and these have 200 ms.

--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server: sends it, and learns from how it ends.
 
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -104,16 +105,7 @@
 
     /// Sends the request and reads the answer. Dropping the future closes the connection.
     pub(super) async fn run(mut self) -> Ended {
-        let names = &self.target.gateway.names;
-        let exchange = Exchange {
-            deadline: self.target.deadline,
-            echo: (&names.request_id, &self.target.id),
-            body_bytes: if self.target.is_part { PART_BYTES } else { WHOLE_BYTES },
-            memory: &self.target.gateway.bodies,
-        };
-        let server = &self.target.server;
-        let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
-        let answer = server.pool.exchange(exchange, prepare).await;
+        let answer = self.exchange().await;
         self.note_reach(&answer);
         if let Ok(answer) = &answer {
             self.take_notices(answer);
@@ -136,6 +128,27 @@
         }
     }
 
+    /// Sends the request and reads the answer. A long wait for another data centre is noted while it lasts.
+    async fn exchange(&self) -> Result<Answer, ExchangeError> {
+        let names = &self.target.gateway.names;
+        let exchange = Exchange {
+            deadline: self.target.deadline,
+            echo: (&names.request_id, &self.target.id),
+            body_bytes: if self.target.is_part { PART_BYTES } else { WHOLE_BYTES },
+            memory: &self.target.gateway.bodies,
+        };
+        let server = &self.target.server;
+        let prepare = |left| self.target.outgoing.attempt(names, &server.entry.id, left);
+        let mut exchange = pin!(server.pool.exchange(exchange, prepare));
+        if !server.is_local {
+            match tokio::time::timeout(UNANSWERED, exchange.as_mut()).await {
+                Ok(answer) => return answer,
+                Err(_elapsed) => self.target.gateway.on_remote_failure(),
+            }
+        }
+        exchange.await
+    }
+
     /// Takes what the exchange brought, and what it shows about the server.
     fn judge(&mut self, answer: Result<Answer, ExchangeError>) -> Judged {
         self.is_ended = true;
@@ -219,7 +232,6 @@
         }
         match answer {
             Ok(_) => self.target.gateway.on_remote_answer(),
-            Err(ExchangeError::TimedOut) => self.target.gateway.on_remote_failure(),
             Err(ExchangeError::Connect(error)) if error.kind() == io::ErrorKind::TimedOut => {
                 self.target.gateway.on_remote_failure();
             }
@@ -274,10 +286,6 @@
             let mut standing = self.target.server.standing();
             standing.end(self.number);
             standing.on_abandoned(waited, self.usual, now);
-            drop(standing);
-            if !self.target.server.is_local && waited >= UNANSWERED {
-                self.target.gateway.on_remote_failure();
-            }
         }
     }
 }
--- a/src/process/gateway/reach.rs
+++ b/src/process/gateway/reach.rs
@@ -20,7 +20,7 @@
 use crate::version::routing::Target;
 
 /// Time in which an instance of another data centre must take a connection. It is many round trips.
-const TRY_TIMEOUT: Duration = Duration::from_millis(300);
+const TRY_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Pause between two tries while nothing is reached.
 const TRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -40,10 +40,20 @@
         if self.isolation().on_remote_failure(Instant::now()) {
             info!(self.log, "cut_suspected"; "read_age_ms" => self.read_age_ms());
             self.suspicions.notify_one();
-            self.rereads.notify_one();
         }
     }
 
+    /// Lets the platform be read at once.
+    fn ask_platform(&self) {
+        self.isolation().on_unreached();
+        self.rereads.notify_one();
+    }
+
+    async fn reaches_others(&self) -> bool {
+        let others = self.census.lock().unwrap_or_else(PoisonError::into_inner).others();
+        others.is_empty() || is_any_reached(&others).await || !self.isolation().is_unanswered()
+    }
+
     /// Takes the value of an answer to a caller, from 0 to 1.
     pub(super) fn on_value(&self, value: f64) {
         let turn = self.isolation().on_value(value, Instant::now());
@@ -113,24 +123,27 @@
 pub(super) async fn watch(gateway: Arc<Gateway>) {
     loop {
         gateway.suspicions.notified().await;
-        while !look(&gateway).await {
+        let mut is_platform_asked = false;
+        loop {
+            if gateway.reaches_others().await {
+                gateway.on_tried(false);
+                break;
+            }
+            if gateway.is_cut() {
+                gateway.on_tried(true);
+            } else if !is_platform_asked {
+                is_platform_asked = true;
+                gateway.ask_platform();
+            } else if !gateway.is_checking() {
+                // The platform was read since.
+                gateway.on_tried(false);
+                break;
+            }
             tokio::time::sleep(TRY_INTERVAL).await;
         }
     }
 }
 
-/// Tries once, and tells whether it is over: something is reached, or the platform is read.
-async fn look(gateway: &Gateway) -> bool {
-    let others = gateway.census.lock().unwrap_or_else(PoisonError::into_inner).others();
-    let is_reached = others.is_empty() || is_any_reached(&others).await || !gateway.isolation().is_unanswered();
-    let is_judged = !gateway.is_checking();
-    let is_cut_off = !is_reached && gateway.is_cut();
-    if is_reached || is_cut_off || is_judged {
-        gateway.on_tried(is_cut_off);
-    }
-    is_reached || (is_judged && !is_cut_off)
-}
-
 async fn is_any_reached(others: &[SocketAddr]) -> bool {
     let mut tries: FuturesUnordered<_> = others
         .iter()
--- a/src/process/isolation.rs
+++ b/src/process/isolation.rs
@@ -34,7 +34,7 @@
     /// Failures at other data centres since the last answer from one.
     failures: u32,
     suspected_at: Option<Instant>,
-    /// Whether the suspicion is not settled by a read of the platform yet.
+    /// Whether it has to be known whether the platform can be read, which no read has shown since.
     is_checking: bool,
     isolated_since: Option<Instant>,
     /// Whether the servers of the own data centre can answer requests of all routes.
@@ -63,7 +63,7 @@
     }
 
     /// Takes that an attempt at another data centre failed or stayed without an answer. Tells whether a cut is suspected,
-    /// so that the instances there and the platform should be tried.
+    /// so that the instances there should be tried.
     pub fn on_remote_failure(&mut self, now: Instant) -> bool {
         self.failures = self.failures.saturating_add(1);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < SUSPECT_INTERVAL;
@@ -71,10 +71,14 @@
             return false;
         }
         self.suspected_at = Some(now);
-        self.is_checking = true;
         true
     }
 
+    /// Takes that no instance of another data centre was reached.
+    pub const fn on_unreached(&mut self) {
+        self.is_checking = true;
+    }
+
     /// Takes that a read of the platform ended, or failed.
     pub const fn on_platform_judged(&mut self) {
         self.is_checking = false;
