soak: servers that say they are leaving, or want no requests for a time

Servers say so by header while processes are paused, killed and cut off, from a random source of its own, so that the other faults of a seed stay as they are. The check knows which process heard a server's word from the answers that its callers got; spans with a signal to the process, or a changed way to the server, do not count.

--- a/crates/gateway-soak/src/callers.rs
+++ b/crates/gateway-soak/src/callers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use eyre::Result;
@@ -68,6 +69,21 @@
     pub id: String,
     pub kind: Kind,
     pub answer: Option<Answer>,
+    pub sent: Instant,
+    pub ended: Instant,
+}
+
+impl Record {
+    /// Makes the record of a request that ends now.
+    fn new(id: String, kind: Kind, answer: Option<Answer>, sent: Instant) -> Self {
+        Self {
+            id,
+            kind,
+            answer,
+            sent,
+            ended: Instant::now(),
+        }
+    }
 }
 
 pub struct Callers {
@@ -84,7 +100,7 @@
                 let rng = SmallRng::from_rng(rng);
                 tasks.spawn(call(
                     one.callers,
-                    format!("p{process}c{caller}"),
+                    process_prefix(process) + &format!("c{caller}"),
                     rng,
                     Arc::clone(&stop),
                 ));
@@ -103,6 +119,11 @@
     }
 }
 
+/// Beginning of the identities of requests to a process.
+pub fn process_prefix(process: usize) -> String {
+    format!("p{process}")
+}
+
 async fn call(address: SocketAddr, name: String, mut rng: SmallRng, stop: Arc<AtomicBool>) -> Vec<Record> {
     let mut records = Vec::new();
     let mut kept = None;
@@ -112,8 +133,9 @@
         let id = format!("{name}n{}", records.len());
         // Some callers leave early, which must stop the work and never let it run twice.
         let patience = if rng.random_bool(0.05) { PATIENCE / 20 } else { PATIENCE };
+        let sent = Instant::now();
         let answer = ask(&mut kept, address, &id, kind, patience).await;
-        records.push(Record { id, kind, answer });
+        records.push(Record::new(id, kind, answer, sent));
     }
     records
 }
@@ -174,8 +196,9 @@
         for process in &fleet.processes {
             for kind in [Kind::All, Kind::Safe, Kind::Unsafe] {
                 let id = format!("{phase}-{}-{round}-{kind:?}", process.name);
+                let sent = Instant::now();
                 let answer = ask(&mut None, process.callers, &id, kind, CALM_PATIENCE).await;
-                records.push(Record { id, kind, answer });
+                records.push(Record::new(id, kind, answer, sent));
             }
         }
     }
@@ -194,6 +217,7 @@
         let address = fleet.processes[ix].callers;
         let id = format!("stop-{ix}");
         let asked = id.clone();
+        let sent = Instant::now();
         let asking = tokio::spawn(async move { ask(&mut None, address, &asked, Kind::Unsafe, CALM_PATIENCE).await });
         let ran = |fleet: &Fleet| {
             let mut all = fleet.backends.iter().flat_map(|backend| backend.server.ran());
@@ -205,11 +229,7 @@
         fleet.signal(ix, "TERM").await?;
         let answer = asking.await?;
         let status = fleet.processes[ix].child.wait().await?;
-        let record = Record {
-            id,
-            kind: Kind::Unsafe,
-            answer,
-        };
+        let record = Record::new(id, Kind::Unsafe, answer, sent);
         stops.push((record, status.code()));
     }
     Ok(stops)
--- a/crates/gateway-soak/src/check.rs
+++ b/crates/gateway-soak/src/check.rs
@@ -47,7 +47,7 @@
         )
     }
 
-    fn add(&mut self, promise: &str, text: &str) {
+    pub fn add(&mut self, promise: &str, text: &str) {
         self.broken.push(format!("{promise}: {text}"));
     }
 }
@@ -147,7 +147,7 @@
     (!whole).then(|| format!("{} bytes of {}", answer.body.len(), backend.server.body.len()))
 }
 
-fn part_names(answer: &Answer) -> Vec<String> {
+pub fn part_names(answer: &Answer) -> Vec<String> {
     let header = answer.headers.get(values::PART_SIGNATURES);
     let text = header.and_then(|value| value.to_str().ok()).unwrap_or_default();
     text.split(',').map(|part| part.trim().to_owned()).collect()
--- a/crates/gateway-soak/src/faults.rs
+++ b/crates/gateway-soak/src/faults.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::fleet::Fleet;
+use crate::notices;
 use crate::proxy::Mode;
 
 /// Longest pause between two faults.
@@ -34,12 +35,12 @@
         let backend = self.rng.random_range(0..fleet.backends.len());
         let process = self.rng.random_range(0..fleet.processes.len());
         match self.rng.random_range(0..KINDS) {
-            0 | 1 => fleet.backends[backend].proxy.set(self.mode()),
+            0 | 1 => fleet.backends[backend].set_way(self.mode()),
             2 | 3 => fleet.backends[backend].server.next([self.act()]),
             4 => fleet.backends[backend].server.always(self.act()),
             5 => {
                 for ix in 0..fleet.backends.len() {
-                    fleet.backends[ix].proxy.set(Mode::Pass);
+                    fleet.backends[ix].set_way(Mode::Pass);
                     fleet.backends[ix].server.always(Act::Good);
                 }
             }
@@ -72,8 +73,9 @@
             fleet.signal(ix, "CONT").await?;
         }
         for ix in 0..fleet.backends.len() {
-            fleet.backends[ix].proxy.set(Mode::Pass);
+            fleet.backends[ix].set_way(Mode::Pass);
             fleet.backends[ix].server.always(Act::Good);
+            notices::end(fleet, ix);
             fleet.announce(ix, "ready");
         }
         fleet.store.set_mode(StoreMode::Up);
--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
+use std::time::Instant;
 
 use eyre::Result;
 use eyre::bail;
@@ -24,6 +25,7 @@
 use tokio::process::Command;
 
 use crate::Settings;
+use crate::proxy::Mode;
 use crate::proxy::Proxy;
 
 /// Shards in each of the two sets that versions of the configuration name by turns.
@@ -63,6 +65,8 @@
     pub store: Proxy,
     pub child: Child,
     pub is_paused: bool,
+    /// Times at which it was signalled or started again.
+    pub disturbed: Vec<Instant>,
     settings: PathBuf,
 }
 
@@ -71,6 +75,17 @@
     pub server: Server,
     pub proxy: Proxy,
     pub service: String,
+    /// Incarnations before this one.
+    pub restarts: u64,
+    /// Times at which the way to it changed, and whether it was clear then.
+    pub ways: Vec<(Instant, bool)>,
+}
+
+impl Backend {
+    pub fn set_way(&mut self, mode: Mode) {
+        self.ways.push((Instant::now(), matches!(mode, Mode::Pass)));
+        self.proxy.set(mode);
+    }
 }
 
 /// All that runs.
@@ -124,6 +139,8 @@
             server,
             proxy,
             service: service.into(),
+            restarts: 0,
+            ways: Vec::new(),
         });
         self.announce(self.backends.len() - 1, "ready");
         Ok(())
@@ -132,7 +149,10 @@
     /// Writes the entry of a backend server.
     pub fn announce(&self, ix: usize, state: &str) {
         let backend = &self.backends[ix];
-        let entry = values::entry(&backend.service, backend.proxy.address, state);
+        let mut entry = values::entry(&backend.service, backend.proxy.address, state);
+        if let Some(born) = entry["born"].as_u64() {
+            entry["born"] = (born + backend.restarts).into();
+        }
         self.store.put(&values::server_key(&backend.server.id), &entry);
     }
 
@@ -179,6 +199,7 @@
             store,
             child,
             is_paused: false,
+            disturbed: Vec::new(),
             settings,
         });
         Ok(())
@@ -204,6 +225,7 @@
         let process = &mut self.processes[ix];
         process.child.kill().await?;
         process.is_paused = false;
+        process.disturbed.push(Instant::now());
         let (name, settings) = (process.name.clone(), process.settings.clone());
         self.processes[ix].child = self.spawn(&name, &settings)?;
         Ok(())
@@ -223,6 +245,7 @@
     /// Sends a signal to a process by its id.
     pub async fn signal(&mut self, ix: usize, signal: &str) -> Result<()> {
         let process = &mut self.processes[ix];
+        process.disturbed.push(Instant::now());
         let Some(id) = process.child.id() else { return Ok(()) };
         // The standard library has no call for signals other than SIGKILL.
         let status = Command::new("kill")
--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -7,6 +7,7 @@
 mod check;
 mod faults;
 mod fleet;
+mod notices;
 mod proxy;
 
 use std::path::PathBuf;
@@ -22,6 +23,7 @@
 use crate::faults::Faults;
 use crate::fleet::Fleet;
 use crate::fleet::READY_LIMIT;
+use crate::notices::Notices;
 
 mod flags {
     use std::path::PathBuf;
@@ -41,7 +43,8 @@
             optional --gateways count: usize
             /// Folder that keeps the logs of seeds that fail.
             optional --logs folder: PathBuf
-            /// Damages what is checked on purpose: `twice`, `denied`, `mixed`, `target` or `unasked`.
+            /// Damages what is checked on purpose: `twice`, `denied`, `mixed`, `target`, `unasked`, `leaving` or
+            /// `hold`.
             optional --plant fault: String
         }
     }
@@ -106,8 +109,11 @@
     let callers = Callers::start(&fleet, &mut rng);
     let end = tokio::time::Instant::now() + settings.time;
     let mut faults = Faults::new(SmallRng::from_rng(&mut rng));
+    // A source of its own leaves the other faults of a seed as they are.
+    let mut notices = Notices::new(SmallRng::seed_from_u64(!settings.seed));
     while tokio::time::Instant::now() < end {
         faults.next(&mut fleet).await?;
+        notices.next(&fleet);
     }
     Faults::end_all(&mut fleet).await?;
     fleet.wait_ready(READY_LIMIT).await?;
@@ -126,6 +132,7 @@
     records.extend(stops.into_iter().map(|(record, _)| record));
     check::plant(settings.plant.as_deref(), &mut records, &fleet);
     check::promises(&records, &fleet, &mut findings);
+    notices::check(&records, &fleet, settings.plant.as_deref(), &mut findings);
     fleet.end().await;
     Ok(findings)
 }
