--- a/src/process/gateway/known.rs
+++ b/src/process/gateway/known.rs
@@ -64,10 +64,7 @@
     pub fn on_platform_read(&self, read: Changes, extent: Extent, begun: Instant) {
         let now = Instant::now();
         if read.origin == Origin::Platform {
-            self.isolation
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .on_platform_judged();
+            self.isolation().on_platform_judged();
         }
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_read(now);
@@ -147,10 +144,7 @@
 
     /// Takes that a read of the platform failed.
     pub fn on_platform_lost(&self) {
-        self.isolation
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .on_platform_judged();
+        self.isolation().on_platform_judged();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.directory.on_platform_lost();
         drop(known);
--- a/src/process/gateway/reach.rs
+++ b/src/process/gateway/reach.rs
@@ -26,7 +26,8 @@
 const TRY_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Gateway {
-    fn isolation(&self) -> MutexGuard<'_, Isolation> {
+    /// Returns what is known of the way to other data centres.
+    pub(super) fn isolation(&self) -> MutexGuard<'_, Isolation> {
         self.isolation.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
