--- a/src/process/isolation.rs
+++ b/src/process/isolation.rs
@@ -6,8 +6,8 @@
 //!
 //! A cut is suspected when attempts at other data centres fail and none is answered. It is believed only when no instance
 //! of any other data centre can be reached and the platform cannot be read either. So neither an outage of servers or of the
-//! platform, nor a cut between two data centres that both reach the platform, makes an instance unready. See "A data
-//! centre that is cut off" in `docs/design/worst-load.md`.
+//! platform, nor a cut between two data centres that both reach the platform, makes an instance unready. An instance that is
+//! cut off alone cannot tell, and does the same. See "A data centre that is cut off" in `docs/design/worst-load.md`.
 
 use std::time::Duration;
 use std::time::Instant;
