--- a/crates/gateway-soak/src/notices.rs
+++ b/crates/gateway-soak/src/notices.rs
@@ -54,8 +54,10 @@
     }
 }
 
-/// Ends what a server said of itself: a new incarnation has its place.
+/// Ends what a server said of itself: a new incarnation has its place. Faults that were meant for the one before, which got no
+/// requests any more, end with it.
 pub fn end(fleet: &mut Fleet, ix: usize) {
+    fleet.backends[ix].server.clear_next();
     fleet.backends[ix].server.set_leaving(false);
     fleet.backends[ix].restarts += 1;
 }
