--- a/crates/gateway-soak/src/notices.rs
+++ b/crates/gateway-soak/src/notices.rs
@@ -54,12 +54,15 @@
     }
 }
 
-/// Ends what a server said of itself: a new incarnation has its place. Faults that were meant for the one before, which got no
-/// requests any more, end with it.
+/// Ends what a server said of itself: a new incarnation takes the place of one that was leaving. Faults that are still to come
+/// end too, since a server that got no requests has not met them.
 pub fn end(fleet: &mut Fleet, ix: usize) {
-    fleet.backends[ix].server.clear_next();
-    fleet.backends[ix].server.set_leaving(false);
-    fleet.backends[ix].restarts += 1;
+    let backend = &mut fleet.backends[ix];
+    backend.server.clear_next();
+    if backend.server.is_leaving() {
+        backend.server.set_leaving(false);
+        backend.restarts += 1;
+    }
 }
 
 /// Checks that servers get no requests from a process that heard their word. `plant` damages what is checked.
