gateway: log and count the rate limits that servers name

No log line or metric showed that a backend server named a rate limit, or how many requests an instance sent to it, so the hypotheses of docs/incidents/server-limits.md could not be told apart.

server_limit is logged for each change of what a server names, server_limit_sends once a second for each server that names a limit, with first and repeated sends. limited_servers and the notice 'limit' are new metrics. Both names of the header are read, as for the leaving notice.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -5,6 +5,7 @@
 //! the platform has been back for [`LAPSE_GRACE`]. See "Backend servers" in `docs/design/platform.md`.
 
 pub mod choice;
+pub mod rate_limit;
 pub mod retry_after;
 pub mod selection;
 pub mod server_state;
@@ -277,6 +278,12 @@
         self.servers.keys()
     }
 
+    /// Returns the known servers that name a rate limit.
+    pub fn limited(&self) -> impl Iterator<Item = &Arc<Backend>> {
+        let backends = self.servers.values().map(|record| &record.backend);
+        backends.filter(|backend| backend.state().rate_limit().is_some())
+    }
+
     /// Returns the end of the grace period; `None` during an outage or when no entry is pending.
     #[must_use]
     pub const fn grace_until(&self) -> Option<Instant> {
@@ -316,6 +323,14 @@
     }
 }
 
+/// Parses an unsigned decimal number with or without a fraction. Returns `None` for other notations, such as signs,
+/// exponents, `inf` or a date.
+fn parse_decimal(text: &str) -> Option<f64> {
+    let text = text.trim();
+    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|_| is_decimal)
+}
+
 /// Returns this instance's share of a server's connections. Most requests to a server come from the instances of its
 /// own data centre, so they share one half of the connections, and all other instances share the other half.
 fn connection_share(all: u32, instances: InstanceCount, is_local: bool) -> u32 {
--- a/src/process/backends/retry_after.rs
+++ b/src/process/backends/retry_after.rs
@@ -13,9 +13,7 @@
 /// for zero and for anything that is not an unsigned decimal number, such as a date.
 #[must_use]
 pub fn parse_retry_after(text: &str) -> Option<Duration> {
-    let text = text.trim();
-    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
-    let seconds: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    let seconds = super::parse_decimal(text)?;
     let time = Duration::from_secs_f64(seconds.min(RETRY_AFTER_MAX.as_secs_f64()));
     (!time.is_zero()).then_some(time)
 }
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::process::backends::rate_limit::LimitNotice;
+use crate::process::backends::rate_limit::RequestRate;
+use crate::request::fanout::Cause;
+
 /// Weight of a new value in the moving average of the slowness, if it is lower than the average.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 
@@ -102,6 +106,15 @@
     at: Instant,
 }
 
+/// Numbers of requests sent to a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SendCounts {
+    /// First attempts.
+    pub first: u32,
+    /// Hedges, retries and resends.
+    pub repeated: u32,
+}
+
 /// Observed state of one server.
 #[derive(Debug)]
 pub struct ServerState {
@@ -123,6 +136,10 @@
     full_until: Option<Instant>,
     /// End of the Retry-After time that the server requested.
     backoff_until: Option<Instant>,
+    /// Rate limit that the server named in its last response.
+    rate_limit: Option<RequestRate>,
+    /// Requests sent while there is a rate limit, since the last call of [`ServerState::take_sends`].
+    sends: SendCounts,
     /// Whether the server announced that it is leaving. It stays set for the rest of the incarnation.
     is_leaving: bool,
     warmup_until: Instant,
@@ -147,6 +164,8 @@
             avoid_until: None,
             full_until: None,
             backoff_until: None,
+            rate_limit: None,
+            sends: SendCounts::default(),
             is_leaving: false,
             warmup_until: now + warmup,
         }
@@ -242,6 +261,35 @@
         self.backoff_until = self.backoff_until.max(Some(now + time));
     }
 
+    /// Counts a request that is sent to the server.
+    pub const fn count_send(&mut self, cause: Cause) {
+        match cause {
+            Cause::First => self.sends.first += 1,
+            Cause::Hedge | Cause::Retry | Cause::Resend => self.sends.repeated += 1,
+        }
+    }
+
+    /// Returns the numbers of requests sent since the last call.
+    pub const fn take_sends(&mut self) -> SendCounts {
+        std::mem::replace(&mut self.sends, SendCounts { first: 0, repeated: 0 })
+    }
+
+    /// Records the statement of a response about the rate limit. Returns the limit before if it was another one.
+    pub fn on_limit_notice(&mut self, notice: LimitNotice) -> Option<LimitNotice> {
+        let before = self.rate_limit.map_or(LimitNotice::Unlimited, LimitNotice::Limited);
+        if self.rate_limit.is_none() {
+            self.sends = SendCounts::default();
+        }
+        self.rate_limit = notice.rate();
+        (before != notice).then_some(before)
+    }
+
+    /// Returns the rate limit that the server names.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<RequestRate> {
+        self.rate_limit
+    }
+
     /// Records that the server announced that it is leaving. Returns whether this is the first announcement.
     pub const fn on_leaving(&mut self) -> bool {
         let is_new = !self.is_leaving;
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -92,6 +92,7 @@
         let mut state = context.server.state();
         let expected = state.expected(usual, now);
         let in_flight_id = state.begin(expected, now);
+        state.count_send(send.cause);
         drop(state);
         Self {
             context,
@@ -263,6 +264,12 @@
         if head::is_leaving(&response.headers, &gateway.header_names) && server.state().on_leaving() {
             gateway.on_server_leaving(server);
         }
+        if let Some(notice) = head::limit_notice(&response.headers, &gateway.header_names) {
+            let before = server.state().on_limit_notice(notice);
+            if let Some(before) = before {
+                gateway.on_limit_change(server, before, notice);
+            }
+        }
     }
 
     /// Counts the result, and logs it if the attempt failed.
--- a/src/process/gateway/head.rs
+++ b/src/process/gateway/head.rs
@@ -13,6 +13,8 @@
 use http::header;
 use http_body_util::Full;
 
+use crate::process::backends::rate_limit;
+use crate::process::backends::rate_limit::LimitNotice;
 use crate::process::backends::retry_after;
 use crate::process::backends::server_state::LoadFigures;
 
@@ -33,6 +35,8 @@
     pub not_run: HeaderName,
     /// Statement of a backend server that it is leaving, under either of its names.
     pub leaving: [HeaderName; 2],
+    /// Requests per second that a backend server accepts from all instances together, under either of its names.
+    pub rate_limit: [HeaderName; 2],
     /// Signatures of the parts in a merged answer over shards.
     pub part_signatures: HeaderName,
     /// Number of shards that are missing in an answer.
@@ -108,6 +112,15 @@
     values.into_iter().any(|value| value.as_bytes().trim_ascii() != b"0")
 }
 
+/// Returns what a response says about the rate limit of its server, or `None` if the value is malformed.
+pub(crate) fn limit_notice(headers: &HeaderMap, names: &HeaderNames) -> Option<LimitNotice> {
+    let Some(value) = names.rate_limit.iter().find_map(|name| headers.get(name)) else {
+        return Some(LimitNotice::Unlimited);
+    };
+    let rate = rate_limit::parse_rate(value.to_str().ok()?)?;
+    Some(LimitNotice::Limited(rate))
+}
+
 /// Returns the `Retry-After` time of a backend server that refused a request.
 pub(crate) fn retry_after_time(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
     if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -35,7 +35,8 @@
 /// Labels of a notice that a backend server sent about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct NoticeLabels {
-    /// `leaving`, counted once for each server, or `hold`, counted for each `Retry-After` time that is received.
+    /// `leaving`, counted once for each server, `hold`, counted for each `Retry-After` time that is received, or
+    /// `limit`, counted for each rate limit that differs from the one before.
     pub(crate) notice: &'static str,
 }
 
@@ -47,6 +48,8 @@
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) denied_extras: Counter,
     pub(crate) notices: Family<NoticeLabels, Counter>,
+    /// Number of backend servers that name a rate limit.
+    pub(crate) limited_servers: Gauge,
     pub(crate) revision: Gauge,
     /// Seconds for which the newest change of the platform has not been reached; 0 when the state is current.
     pub(crate) platform_lag: Gauge<f64, AtomicU64>,
@@ -66,6 +69,7 @@
             attempts: Family::default(),
             denied_extras: Counter::default(),
             notices: Family::default(),
+            limited_servers: Gauge::default(),
             revision: Gauge::default(),
             platform_lag: Gauge::default(),
         };
@@ -80,9 +84,14 @@
         );
         registry.register(
             "server_notices",
-            "Backend servers that said that they are leaving, or want no requests for a time",
+            "Backend servers that said that they are leaving, want no requests for a time, or limit the rate of requests",
             metrics.notices.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers that name a rate limit",
+            metrics.limited_servers.clone(),
+        );
         registry.register("revision", "Configuration revision in effect", metrics.revision.clone());
         registry.register(
             "platform_lag_seconds",
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -55,6 +55,9 @@
 /// Interval at which the settings are reloaded. No setting has to take effect sooner.
 pub const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval at which the requests sent to servers with a rate limit are logged.
+const LIMIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Running gateway. Dropping it ends it at once, as if its process were killed.
 #[derive(Debug)]
 pub struct Running {
@@ -173,6 +176,7 @@
         SmallRng::from_rng(&mut rng),
     ));
     tasks.spawn(reachability::watch(Arc::clone(&gateway)));
+    tasks.spawn(report_limits(Arc::clone(&gateway)));
     let client = FollowingClient::new(client, Arc::clone(&gateway));
     tasks.spawn(discovery::run(client, Arc::clone(&gateway), rng));
     Ok(Running {
@@ -222,6 +226,14 @@
     }
 }
 
+/// Reports the requests sent to servers with a rate limit until the process ends.
+async fn report_limits(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(LIMIT_REPORT_INTERVAL).await;
+        gateway.report_limited_sends();
+    }
+}
+
 async fn bind_peers(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| StartError::Bind { address, source })
