backends: keep the rate limits that servers name, over all instances

Cause: no instance read the limit. The class of fault is a statement about the sum over all instances which each instance would have to act upon alone.

Each instance now computes its share of a limit from the list of instances (weighted rendezvous hashing, r + 2 instances for r requests a second) and paces all attempts at the server with a token bucket. The newest answer counts; a limit falls at once and rises after 30 s. Rosters carry what was heard, so that instances without a share hear that a limit has ended.

Ruled out: an equal share for every instance, since 118 instances may send one request each in the same four seconds (the test of the shares fails with it).

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -278,7 +278,14 @@
         self.servers.keys()
     }
 
-    /// Returns the known servers that name a rate limit.
+    /// Returns the server with this name if it is still the same incarnation.
+    #[must_use]
+    pub fn incarnation(&self, id: &str, started_ms: u64) -> Option<&Arc<Backend>> {
+        let backend = self.servers.get(id).map(|record| &record.backend)?;
+        (backend.entry.started_ms == started_ms).then_some(backend)
+    }
+
+    /// Returns the known servers that name a rate limit or have named one.
     pub fn limited(&self) -> impl Iterator<Item = &Arc<Backend>> {
         let backends = self.servers.values().map(|record| &record.backend);
         backends.filter(|backend| backend.state().rate_limit().is_some())
--- a/src/process/backends/selection.rs
+++ b/src/process/backends/selection.rs
@@ -12,6 +12,7 @@
 use crate::process::backends::Backend;
 use crate::process::backends::server_state::ServerState;
 use crate::process::gossip::InstanceCount;
+use crate::request::fanout::MAX_WAIT_SHARE;
 use crate::request::fanout::ServerIndex;
 
 /// Advantage that a server in another data centre needs over a local one, as a share of the objective.
@@ -31,7 +32,7 @@
 /// all selecting the same server.
 const COST_JITTER: f64 = 0.1;
 
-/// Share of the in-flight limit that a route may use while another route to the same service is more urgent. The rest
+/// Share of the in-flight limit, and of the unused requests of a rate limit, that a route may use while another route to the same service is more urgent. The rest
 /// is reserved for the urgent route.
 const LOW_PRIORITY_SHARE: f64 = 0.75;
 
@@ -87,6 +88,15 @@
         if state.is_avoided(now) || (state.needs_probe() && state.in_flight() > 0) {
             continue;
         }
+        match state.limit_admits_at(limit_reserve(requirements), now) {
+            Some(at) if at <= now => {}
+            // Worth waiting for, unlike a limit that admits no request before the request is given up.
+            Some(at) if at <= now + objective.mul_f64(MAX_WAIT_SHARE) => {
+                is_saturated = true;
+                continue;
+            }
+            Some(_) | None => continue,
+        }
         let limit = in_flight_limit(server, &state, requirements, now);
         if state.in_flight() >= limit || !server.pool.has_capacity() {
             is_saturated = true;
@@ -122,7 +132,7 @@
 }
 
 /// Describes for the log why each server is unavailable: its name, the requests in flight and their limit, and
-/// `leaving`, `held` (Retry-After), `avoided` (after a failure) or `no_connection` (all connections in use).
+/// `leaving`, `held` (Retry-After), `avoided` (after a failure), `rate_limited` or `no_connection` (all connections in use).
 #[must_use]
 pub fn describe(servers: &[Arc<Backend>], requirements: Requirements, now: Instant) -> String {
     let described = servers.iter().map(|server| {
@@ -134,6 +144,11 @@
             " held"
         } else if state.is_avoided(now) {
             " avoided"
+        } else if state
+            .limit_admits_at(limit_reserve(requirements), now)
+            .is_none_or(|at| at > now)
+        {
+            " rate_limited"
         } else if server.pool.has_capacity() {
             ""
         } else {
@@ -144,6 +159,15 @@
     described.collect::<Vec<String>>().join(", ")
 }
 
+/// Returns the share of the unused requests of a rate limit that a request leaves to others.
+const fn limit_reserve(requirements: Requirements) -> f64 {
+    if requirements.is_outranked {
+        1.0 - LOW_PRIORITY_SHARE
+    } else {
+        0.0
+    }
+}
+
 /// Returns the limit on this instance's requests in flight to a server. Local servers are shared by the instances of
 /// the data centre, since these send most of the requests, and remote servers by all instances.
 fn in_flight_limit(server: &Backend, state: &ServerState, requirements: Requirements, now: Instant) -> usize {
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use crate::process::backends::rate_limit::LimitNotice;
+use crate::process::backends::rate_limit::RateLimit;
 use crate::process::backends::rate_limit::RequestRate;
 use crate::request::fanout::Cause;
 
@@ -115,6 +116,15 @@
     pub repeated: u32,
 }
 
+impl SendCounts {
+    const fn count(&mut self, cause: Cause) {
+        match cause {
+            Cause::First => self.first += 1,
+            Cause::Hedge | Cause::Retry | Cause::Resend => self.repeated += 1,
+        }
+    }
+}
+
 /// Observed state of one server.
 #[derive(Debug)]
 pub struct ServerState {
@@ -136,8 +146,8 @@
     full_until: Option<Instant>,
     /// End of the Retry-After time that the server requested.
     backoff_until: Option<Instant>,
-    /// Rate limit that the server named in its last response.
-    rate_limit: Option<RequestRate>,
+    /// Rate limit of the server; `None` if it never named one.
+    rate_limit: Option<RateLimit>,
     /// Requests sent while there is a rate limit, since the last call of [`ServerState::take_sends`].
     sends: SendCounts,
     /// Whether the server announced that it is leaving. It stays set for the rest of the incarnation.
@@ -172,7 +182,11 @@
     }
 
     /// Records that a request with the expected latency `expected` was sent.
-    pub fn begin(&mut self, expected: Duration, now: Instant) -> InFlightId {
+    pub fn begin(&mut self, cause: Cause, expected: Duration, now: Instant) -> InFlightId {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.on_send(now);
+            self.sends.count(cause);
+        }
         self.next_id += 1;
         self.in_flight.push(InFlightRequest {
             id: self.next_id,
@@ -261,33 +275,59 @@
         self.backoff_until = self.backoff_until.max(Some(now + time));
     }
 
-    /// Counts a request that is sent to the server.
-    pub const fn count_send(&mut self, cause: Cause) {
-        match cause {
-            Cause::First => self.sends.first += 1,
-            Cause::Hedge | Cause::Retry | Cause::Resend => self.sends.repeated += 1,
-        }
-    }
-
     /// Returns the numbers of requests sent since the last call.
     pub const fn take_sends(&mut self) -> SendCounts {
         std::mem::replace(&mut self.sends, SendCounts { first: 0, repeated: 0 })
     }
 
-    /// Records the statement of a response about the rate limit. Returns the limit before if it was another one.
-    pub fn on_limit_notice(&mut self, notice: LimitNotice) -> Option<LimitNotice> {
-        let before = self.rate_limit.map_or(LimitNotice::Unlimited, LimitNotice::Limited);
-        if self.rate_limit.is_none() {
-            self.sends = SendCounts::default();
+    /// Records what the response to a request sent at `sent` says about the rate limit. Returns the statement before if
+    /// it was another one. A response without a limit ends the limit only if its request was sent after the server named
+    /// it: an earlier one may have been answered before.
+    pub fn on_limit_notice(&mut self, notice: LimitNotice, sent: Instant, now: Instant) -> Option<LimitNotice> {
+        let is_outdated = self.rate_limit.is_some_and(|limit| sent <= limit.heard().1);
+        if notice == LimitNotice::Unlimited && is_outdated {
+            return None;
         }
-        self.rate_limit = notice.rate();
-        (before != notice).then_some(before)
+        self.on_peer_limit_notice(notice, now)
     }
 
-    /// Returns the rate limit that the server names.
+    /// Records a statement about the rate limit that the server made to another instance at `at`. Returns the statement
+    /// before if it was another one.
+    pub fn on_peer_limit_notice(&mut self, notice: LimitNotice, at: Instant) -> Option<LimitNotice> {
+        match (&mut self.rate_limit, notice) {
+            (None, LimitNotice::Unlimited) => None,
+            (None, LimitNotice::Limited(rate)) => {
+                self.rate_limit = Some(RateLimit::new(rate, at));
+                self.sends = SendCounts::default();
+                Some(LimitNotice::Unlimited)
+            }
+            (Some(limit), notice) => {
+                let (before, _) = limit.heard();
+                limit.on_notice(notice, at).then_some(before)
+            }
+        }
+    }
+
+    /// Returns the rate limit, or `None` if the server never named one.
     #[must_use]
-    pub const fn rate_limit(&self) -> Option<RequestRate> {
+    pub const fn rate_limit(&self) -> Option<&RateLimit> {
+        self.rate_limit.as_ref()
+    }
+
+    /// Sets the rate at which this instance may send while the server names a limit.
+    pub fn set_limit_share(&mut self, share: RequestRate, now: Instant) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.set_share(share, now);
+        }
+    }
+
+    /// Returns the time from which the rate limit admits a request that leaves the share `reserve` of unused requests to
+    /// others; `None` if it admits none.
+    #[must_use]
+    pub fn limit_admits_at(&self, reserve: f64, now: Instant) -> Option<Instant> {
         self.rate_limit
+            .as_ref()
+            .map_or(Some(now), |limit| limit.available_at(reserve))
     }
 
     /// Records that the server announced that it is leaving. Returns whether this is the first announcement.
@@ -327,11 +367,21 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the end of the Retry-After or avoidance time, whichever is later; `None` if there is neither or the
-    /// server is leaving.
+    /// Returns the time at which the Retry-After time and the avoidance time are over and the rate limit admits a request
+    /// again, whichever is last. `None` if nothing holds requests back, or if the server is leaving or never gets
+    /// requests of this instance.
     #[must_use]
     pub fn available_at(&self) -> Option<Instant> {
-        (!self.is_leaving).then(|| self.backoff_until.max(self.avoid_until))?
+        if self.is_leaving {
+            return None;
+        }
+        let held_until = self.backoff_until.max(self.avoid_until);
+        match &self.rate_limit {
+            Some(limit) => limit
+                .available_at(0.0)
+                .map(|at| held_until.map_or(at, |until| until.max(at))),
+            None => held_until,
+        }
     }
 
     /// Returns whether the server is avoided because of failures.
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod platform_state;
 mod program;
+mod rate_limits;
 mod reachability;
 mod request;
 mod roster_exchange;
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -91,8 +91,7 @@
     ) -> Self {
         let mut state = context.server.state();
         let expected = state.expected(usual, now);
-        let in_flight_id = state.begin(expected, now);
-        state.count_send(send.cause);
+        let in_flight_id = state.begin(send.cause, expected, now);
         drop(state);
         Self {
             context,
@@ -265,7 +264,7 @@
             gateway.on_server_leaving(server);
         }
         if let Some(notice) = head::limit_notice(&response.headers, &gateway.header_names) {
-            let before = server.state().on_limit_notice(notice);
+            let before = server.state().on_limit_notice(notice, self.sent, Instant::now());
             if let Some(before) = before {
                 gateway.on_limit_change(server, before, notice);
             }
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -17,8 +17,6 @@
 use crate::process::backends::Directory;
 use crate::process::backends::EntryChange;
 use crate::process::backends::View;
-use crate::process::backends::rate_limit::LimitNotice;
-use crate::process::backends::server_state::SendCounts;
 use crate::process::discovery;
 use crate::process::discovery::Change;
 use crate::process::discovery::Changes;
@@ -281,35 +279,6 @@
         }
     }
 
-    /// Records that a server names another rate limit than before.
-    pub(super) fn on_limit_change(&self, server: &Backend, before: LimitNotice, notice: LimitNotice) {
-        if notice.rate().is_some() {
-            self.metrics.count_notice("limit");
-        }
-        if self.log_quota.allow(&self.log, LogTopic::Failure) {
-            info!(self.log, "server_limit"; "server" => &*server.entry.id, "service" => &*server.entry.service,
-                "rate" => notice.rate(), "before" => before.rate(), "instances" => self.instances().all);
-        }
-    }
-
-    /// Logs how many requests this instance sent to each server that names a rate limit since the last call.
-    pub(super) fn report_limited_sends(&self) {
-        let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
-        let limited: Vec<Arc<Backend>> = platform.directory.limited().map(Arc::clone).collect();
-        drop(platform);
-        self.metrics.limited_servers.set(limited.len() as i64);
-        for server in limited {
-            let mut state = server.state();
-            let (rate, sends) = (state.rate_limit(), state.take_sends());
-            drop(state);
-            let is_idle = sends == SendCounts::default();
-            if !is_idle && self.log_quota.allow(&self.log, LogTopic::Failure) {
-                info!(self.log, "server_limit_sends"; "server" => &*server.entry.id, "rate" => rate,
-                    "first" => sends.first, "repeated" => sends.repeated, "instances" => self.instances().all);
-            }
-        }
-    }
-
     /// Logs the change of a server, and returns whether it is visible to requests.
     fn log_server_change(&self, server: &BackendEntry, change: EntryChange) -> bool {
         let event = match change {
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -31,6 +31,7 @@
 use crate::process::gateway::GatewaySettings;
 use crate::process::gateway::HeaderNames;
 use crate::process::gateway::followers::FollowingClient;
+use crate::process::gateway::rate_limits;
 use crate::process::gateway::reachability;
 use crate::process::gateway::roster_exchange;
 use crate::process::gossip::InstanceCount;
@@ -55,9 +56,6 @@
 /// Interval at which the settings are reloaded. No setting has to take effect sooner.
 pub const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Interval at which the requests sent to servers with a rate limit are logged.
-const LIMIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Running gateway. Dropping it ends it at once, as if its process were killed.
 #[derive(Debug)]
 pub struct Running {
@@ -176,7 +174,7 @@
         SmallRng::from_rng(&mut rng),
     ));
     tasks.spawn(reachability::watch(Arc::clone(&gateway)));
-    tasks.spawn(report_limits(Arc::clone(&gateway)));
+    tasks.spawn(rate_limits::report(Arc::clone(&gateway)));
     let client = FollowingClient::new(client, Arc::clone(&gateway));
     tasks.spawn(discovery::run(client, Arc::clone(&gateway), rng));
     Ok(Running {
@@ -226,14 +224,6 @@
     }
 }
 
-/// Reports the requests sent to servers with a rate limit until the process ends.
-async fn report_limits(gateway: Arc<Gateway>) {
-    loop {
-        tokio::time::sleep(LIMIT_REPORT_INTERVAL).await;
-        gateway.report_limited_sends();
-    }
-}
-
 async fn bind_peers(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| StartError::Bind { address, source })
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -21,6 +21,7 @@
 use crate::process::discovery::Change;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::followers;
+use crate::process::gateway::rate_limits;
 use crate::process::gossip::InstanceCount;
 use crate::wire::codec::CodecError;
 use crate::wire::codec::FrameCodec;
@@ -65,6 +66,7 @@
             position,
             cut: platform.directory.is_platform_lost() || platform.position.is_none(),
             values: if sends_values { values.collect() } else { Vec::new() },
+            limits: rate_limits::heard_limits(&platform.directory, now),
         }
     }
 
@@ -79,6 +81,7 @@
         if count != before {
             self.on_instances(before, count);
         }
+        self.on_peer_limits(&roster.limits, now);
         if roster.values.is_empty() {
             return;
         }
@@ -101,6 +104,7 @@
         if count != before {
             self.on_instances(before, count);
         }
+        self.update_limit_shares();
         next
     }
 
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -16,6 +16,9 @@
 
 use crate::ids::DataCentreId;
 use crate::ids::InstanceId;
+use crate::process::backends::rate_limit;
+use crate::process::backends::rate_limit::RequestRate;
+use crate::process::backends::rate_limit::Sender;
 use crate::process::ownership::rank::NameHash;
 use crate::wire::proto;
 
@@ -195,6 +198,27 @@
         std::iter::once(own).chain(others).collect()
     }
 
+    /// Returns the rate at which this instance may send to a server of `data_centre` that accepts `rate` from all
+    /// instances together. Zero if this instance is not among those that share the limit.
+    #[must_use]
+    pub fn limit_share(&self, rate: RequestRate, server: &str, data_centre: &str) -> RequestRate {
+        if self.members.is_empty() {
+            return rate / f64::from(self.assumed.all.max(1));
+        }
+        let others = self
+            .members
+            .iter()
+            .map(|(instance, member)| (instance, &member.data_centre));
+        let all = others.chain([(&self.own, &self.data_centre)]);
+        let senders = all.map(|(instance, located)| Sender {
+            instance,
+            is_local: **located == *data_centre,
+        });
+        let shares = rate_limit::shares(rate, server, senders);
+        let own = shares.into_iter().find(|(sender, _)| *sender.instance == *self.own);
+        own.map_or(0.0, |(_, share)| share)
+    }
+
     /// Returns addresses of a few instances in each of a few other data centres.
     #[must_use]
     pub fn remote_instances(&self) -> Vec<SocketAddr> {
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -24,7 +24,7 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(4);
 
 /// Maximum time that a part waits for capacity or for probes, as a share of the objective.
-const MAX_WAIT_SHARE: f64 = 0.25;
+pub const MAX_WAIT_SHARE: f64 = 0.25;
 
 /// Time before the end of the objective at which a partial answer is sent. It covers the round trip to the caller (3 ms
 /// each way) and the merge.
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -439,6 +439,24 @@
     /// All platform values known to the sender, for a receiver that cannot read the platform and is behind.
     #[prost(message, repeated, tag = "4")]
     pub values: ::prost::alloc::vec::Vec<StoredValue>,
+    /// What backend servers said about their rate limits. An instance that sends no requests to a server learns from it when
+    /// the server names no limit any more.
+    #[prost(message, repeated, tag = "5")]
+    pub limits: ::prost::alloc::vec::Vec<ServerLimit>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServerLimit {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of the incarnation of the server, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Requests per second that the server accepts from all instances together. Absent when it names no limit any more.
+    #[prost(double, optional, tag = "3")]
+    pub rate: ::core::option::Option<f64>,
+    /// Time since the server said so.
+    #[prost(uint64, tag = "4")]
+    pub age_us: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -213,7 +213,7 @@
     let view = three_servers(now);
     let near = &view.servers("shard")[0];
     for _ in 0..2 {
-        near.state().begin(USUAL_LATENCY, now);
+        near.state().begin(Cause::First, USUAL_LATENCY, now);
     }
     assert!(matches!(select_server(&view, &[], now), Selection::Server(0, _)));
 }
@@ -224,7 +224,9 @@
 fn a_paused_server_is_skipped_before_it_answers() {
     let start = Instant::now();
     let view = three_servers(start);
-    view.servers("shard")[0].state().begin(USUAL_LATENCY, start);
+    view.servers("shard")[0]
+        .state()
+        .begin(Cause::First, USUAL_LATENCY, start);
     let now = start + ms(60);
     assert!(matches!(select_server(&view, &[], now), Selection::Server(1 | 2, _)));
 }
@@ -258,7 +260,7 @@
     assert!(!matches!(select_server(&view, &[1, 2], now), Selection::Server(..)));
     let later = now + ms(300);
     assert!(matches!(select_server(&view, &[1, 2], later), Selection::Server(0, _)));
-    near.state().begin(USUAL_LATENCY, later);
+    near.state().begin(Cause::First, USUAL_LATENCY, later);
     assert_eq!(select_server(&view, &[1, 2], later), Selection::NoServer);
 }
 
@@ -376,7 +378,7 @@
     loop {
         let found = selection::select_server(view.servers("shard"), &[], requirements(instances), true, now, &mut rng);
         let Selection::Server(ix, expected) = found else { break };
-        view.servers("shard")[ix].state().begin(expected, now);
+        view.servers("shard")[ix].state().begin(Cause::First, expected, now);
         in_flight[ix] += 1;
     }
     // 3 slots, an objective of 150 ms and a latency of 20 ms make 22 requests in flight for all instances.
@@ -397,7 +399,7 @@
     while let Selection::Server(ix, expected) =
         selection::select_server(view.servers("shard"), &[], routine, true, now, &mut rng)
     {
-        view.servers("shard")[ix].state().begin(expected, now);
+        view.servers("shard")[ix].state().begin(Cause::First, expected, now);
     }
     assert!(matches!(select_server(&view, &[], now), Selection::Server(..)));
 }
@@ -407,7 +409,7 @@
 fn load_of_other_instances_counts_while_fresh() {
     let now = Instant::now();
     let mut state = ServerState::new(3, Duration::ZERO, now);
-    state.begin(USUAL_LATENCY, now);
+    state.begin(Cause::First, USUAL_LATENCY, now);
     let idle = state.expected(USUAL_LATENCY, now);
     let load = LoadFigures {
         running: 3,
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -362,7 +362,7 @@
         let server = &instance.view.servers(&service(send.part))[send.server];
         let mut state = server.state();
         let expected = state.expected(usual, self.now);
-        let in_flight_id = state.begin(expected, self.now);
+        let in_flight_id = state.begin(send.cause, expected, self.now);
         drop(state);
         if matches!(send.cause, Cause::Hedge | Cause::Retry) {
             let at = self.now - self.start;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod node;
 mod notices;
 mod ownership;
+mod rate_limits;
 mod records;
 mod routing;
 mod samples;
