--- a/src/process/backends/rate_limit.rs
+++ b/src/process/backends/rate_limit.rs
@@ -104,6 +104,12 @@
     shares.collect()
 }
 
+/// Returns the rate at which an instance may send that knows no other one and assumes `instances` of them.
+#[must_use]
+pub fn assumed_share(rate: RequestRate, instances: u32) -> RequestRate {
+    rate.max(MIN_RATE) / f64::from(instances.max(1))
+}
+
 /// Token bucket that bounds the requests of this instance to one server.
 #[derive(Debug, Clone, Copy)]
 pub struct Pacer {
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -203,7 +203,7 @@
     #[must_use]
     pub fn limit_share(&self, rate: RequestRate, server: &str, data_centre: &str) -> RequestRate {
         if self.members.is_empty() {
-            return rate / f64::from(self.assumed.all.max(1));
+            return rate_limit::assumed_share(rate, self.assumed.all);
         }
         let others = self
             .members
