backends: let 2r + 1 instances share a limit of r requests a second

With r + 2 sharing instances most of a fleet of 118 had no share in any of nine limited servers, and crowded the one without a limit.

All sharing instances together send at most 6r + 1 requests in four seconds, where 6r + 5 are tolerated; the test of the shares checks it.

--- a/src/process/backends/rate_limit.rs
+++ b/src/process/backends/rate_limit.rs
@@ -16,9 +16,12 @@
 /// Limit that is applied at least, so that some requests still show when the server names no limit any more.
 const MIN_RATE: RequestRate = 0.5;
 
-/// Number of instances that share a limit, beyond one for each request per second of it. The other instances send
-/// nothing: with a share of less than one request per second each, all of them could send within the same second.
-const SPARE_SENDERS: usize = 2;
+/// Number of instances that share a limit, for each request per second of it. The other instances send nothing: if each
+/// of a large fleet had a share, all of them could use it within the same second.
+const SENDERS_PER_RATE: f64 = 2.0;
+
+/// Number of instances that share a limit in addition.
+const EXTRA_SENDERS: usize = 1;
 
 /// Weight of an instance in the data centre of the server, relative to one elsewhere. Most requests to a server come
 /// from its own data centre.
@@ -96,7 +99,7 @@
         rank.total_cmp(other_rank)
             .then_with(|| sender.instance.cmp(other.instance))
     });
-    ranked.truncate((rate.ceil() as usize).saturating_add(SPARE_SENDERS));
+    ranked.truncate(((SENDERS_PER_RATE * rate).ceil() as usize).saturating_add(EXTRA_SENDERS));
     let weights: f64 = ranked.iter().map(|(_, sender)| sender.weight()).sum();
     let shares = ranked
         .into_iter()
