gateway-soak: servers that name rate limits, and the check that they are kept

The soak had no server that names a limit, so it could not find the fault.

A proxy that keeps forwarding counts as unchanged now.

--- a/crates/gateway-soak/src/check.rs
+++ b/crates/gateway-soak/src/check.rs
@@ -165,6 +165,16 @@
     text.split(',').map(|part| part.trim().to_owned()).collect()
 }
 
+/// Returns whether a success was answered by the server, alone or with one of the parts.
+pub fn is_answered_by(exchange: &Exchange, backend: &Backend) -> bool {
+    let answer = exchange.answer.as_ref().filter(|answer| answer.status == 200);
+    answer.is_some_and(|answer| {
+        let signature = backend.server.signature(&exchange.id);
+        let single = answer.headers.get(values::SIGNATURE);
+        single.is_some_and(|single| single == signature.as_str()) || part_names(answer).contains(&signature)
+    })
+}
+
 /// Returns a description of the error in an answer merged from all shards.
 fn shards_violation(id: &str, answer: &Answer, fleet: &Fleet) -> Option<String> {
     let parts = part_names(answer);
--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -77,16 +77,30 @@
     pub service: String,
     /// Number of earlier incarnations.
     pub restarts: u64,
-    /// Times at which the mode of the proxy was set, and whether the proxy forwarded without a fault from then on.
+    /// Times at which the mode of the proxy changed, and whether the proxy forwarded without a fault from then on.
     pub link_changes: Vec<(Instant, bool)>,
+    /// Times at which the rate limit of the server was set, with the limit in requests per second.
+    pub limit_changes: Vec<(Instant, Option<f64>)>,
 }
 
 impl Backend {
-    /// Sets the mode of the proxy and records the time.
+    /// Sets the mode of the proxy and records the time of a change.
     pub fn set_link_mode(&mut self, mode: Mode) {
-        self.link_changes.push((Instant::now(), matches!(mode, Mode::Forward)));
+        let is_clear = matches!(mode, Mode::Forward);
+        let was_clear = self.link_changes.last().is_none_or(|(_, was_clear)| *was_clear);
+        if !(is_clear && was_clear) {
+            self.link_changes.push((Instant::now(), is_clear));
+        }
         self.proxy.set_mode(mode);
     }
+
+    /// Sets the rate limit that the server names and records the time.
+    pub fn set_rate_limit(&mut self, rate: Option<f64>) {
+        if self.server.rate_limit() != rate {
+            self.limit_changes.push((Instant::now(), rate));
+            self.server.set_rate_limit(rate);
+        }
+    }
 }
 
 /// Gateway processes and everything around them.
@@ -148,6 +162,7 @@
             service: service.into(),
             restarts: 0,
             link_changes: Vec::new(),
+            limit_changes: Vec::new(),
         });
         self.write_entry(self.backends.len() - 1, "ready");
         Ok(())
--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -7,6 +7,7 @@
 mod check;
 mod faults;
 mod fleet;
+mod limits;
 mod notices;
 mod proxy;
 
@@ -23,6 +24,7 @@
 use crate::faults::FaultInjector;
 use crate::fleet::Fleet;
 use crate::fleet::READY_TIMEOUT;
+use crate::limits::LimitInjector;
 use crate::notices::NoticeInjector;
 
 mod flags {
@@ -44,7 +46,7 @@
             /// Directory for the logs; those of failed seeds are kept.
             optional --logs dir: PathBuf
             /// Plants a fault in the recorded data to test the checks: `twice`, `denied`, `mixed`, `target`, `unasked`,
-            /// `leaving` or `hold`.
+            /// `leaving`, `hold` or `limit`.
             optional --plant fault: String
         }
     }
@@ -110,11 +112,13 @@
     let callers = Callers::start(&fleet, &mut rng);
     let end = tokio::time::Instant::now() + settings.fault_duration;
     let mut fault_injector = FaultInjector::new(SmallRng::from_rng(&mut rng));
-    // With a separate generator, notices do not change the other faults of a seed.
+    // With separate generators, notices and limits do not change the other faults of a seed.
     let mut notice_injector = NoticeInjector::new(SmallRng::seed_from_u64(!settings.seed));
+    let mut limit_injector = LimitInjector::new(SmallRng::seed_from_u64(settings.seed.rotate_left(32)));
     while tokio::time::Instant::now() < end {
         fault_injector.inject_next(&mut fleet).await?;
         notice_injector.inject_next(&fleet);
+        limit_injector.inject_next(&mut fleet);
     }
     FaultInjector::clear_all(&mut fleet).await?;
     fleet.wait_ready(READY_TIMEOUT).await?;
@@ -134,6 +138,7 @@
     check::plant_fault(settings.planted_fault.as_deref(), &mut exchanges, &fleet);
     check::check_invariants(&exchanges, &fleet, &mut findings);
     notices::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
+    limits::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
     fleet.kill_all().await;
     Ok(findings)
 }
--- a/crates/gateway-soak/src/notices.rs
+++ b/crates/gateway-soak/src/notices.rs
@@ -14,7 +14,7 @@
 use crate::callers::Exchange;
 use crate::callers::process_prefix;
 use crate::check::Findings;
-use crate::check::part_names;
+use crate::check::is_answered_by;
 use crate::fleet::Backend;
 use crate::fleet::Fleet;
 use crate::fleet::Process;
@@ -61,6 +61,7 @@
 pub fn withdraw(fleet: &mut Fleet, ix: usize) {
     let backend = &mut fleet.backends[ix];
     backend.server.clear_queued();
+    backend.set_rate_limit(None);
     if backend.server.is_leaving() {
         backend.server.set_leaving(false);
         backend.restarts += 1;
@@ -109,20 +110,12 @@
     is_planted: bool,
     findings: &mut Findings,
 ) {
-    let names_backend = |exchange: &Exchange| {
-        let answer = exchange.answer.as_ref().filter(|answer| answer.status == 200);
-        answer.is_some_and(|answer| {
-            let signature = backend.server.signature(&exchange.id);
-            let single = answer.headers.get(platform_standin::values::SIGNATURE);
-            single.is_some_and(|single| single == signature.as_str()) || part_names(answer).contains(&signature)
-        })
-    };
     let notified_arrivals = arrivals
         .iter()
         .filter(|arrival| arrival.notice == ServerNotice::Leaving);
     let notified = notified_arrivals.filter_map(|arrival| exchanges.get(arrival.id.as_str()).copied());
     let Some(notified_at) = notified
-        .filter(|exchange| names_backend(exchange))
+        .filter(|exchange| is_answered_by(exchange, backend))
         .map(|exchange| exchange.ended)
         .min()
     else {
@@ -193,7 +186,7 @@
 }
 
 /// Returns whether the proxy of a server forwarded without a fault from `from` to `to`.
-fn is_link_clear(backend: &Backend, from: Instant, to: Instant) -> bool {
+pub fn is_link_clear(backend: &Backend, from: Instant, to: Instant) -> bool {
     let before = backend.link_changes.iter().rfind(|(at, _)| *at <= from);
     let is_unchanged = !backend.link_changes.iter().any(|(at, _)| from < *at && *at < to);
     before.is_none_or(|(_, is_clear)| *is_clear) && is_unchanged
