backends: announce, last notice and recent notices in place of private terms

Requests to a server are counted only while its limit lasts, so that the first line of the next limit is not too high, and the hash of a member's name is kept: 118 members and 200 limited servers needed 23,600 hashes in each gossip round.

--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -94,7 +94,7 @@
         self.proxy.set_mode(mode);
     }
 
-    /// Sets the rate limit that the server names and records the time.
+    /// Sets the rate limit that the server announces and records the time.
     pub fn set_rate_limit(&mut self, rate: Option<f64>) {
         if self.server.rate_limit() != rate {
             self.limit_changes.push((Instant::now(), rate));
--- a/crates/gateway-soak/src/limits.rs
+++ b/crates/gateway-soak/src/limits.rs
@@ -1,4 +1,4 @@
-//! Backend servers that name a rate limit for all processes together, and the check that the processes keep it.
+//! Backend servers that announce a rate limit for all processes together, and the check that the processes keep it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -17,11 +17,11 @@
 use crate::fleet::Process;
 use crate::notices::is_link_clear;
 
-/// Probability that a server names a limit in a step of the run, and that one with a limit names none any more.
-const NAME_PROBABILITY: f64 = 0.15;
+/// Probability that a server announces a limit in a step of the run, and that a limit ends.
+const ANNOUNCE_PROBABILITY: f64 = 0.15;
 const END_PROBABILITY: f64 = 0.03;
 
-/// Number of servers that name a limit from the start of the run.
+/// Number of servers that announce a limit from the start of the run.
 const FIRST_LIMITS: usize = 6;
 
 /// Length of the span over which requests are counted.
@@ -30,11 +30,11 @@
 /// Requests in a [`SPAN`] that a server may get beyond one and a half times its limit.
 const ALLOWANCE: f64 = 5.0;
 
-/// Grace period after a server named a limit, and after a process relayed an answer that names it.
-const NAMED_GRACE: Duration = Duration::from_secs(1);
+/// Grace period after a server announced a limit, and after a process relayed it.
+const ANNOUNCED_GRACE: Duration = Duration::from_secs(1);
 const RELAYED_GRACE: Duration = Duration::from_millis(500);
 
-/// Makes random backend servers name limits.
+/// Makes random backend servers announce limits.
 pub struct LimitInjector {
     rng: SmallRng,
     is_started: bool,
@@ -45,11 +45,11 @@
         Self { rng, is_started: false }
     }
 
-    /// Makes random servers name limits at the start of the run, and one now and then later. A limit does not change
-    /// while it is named, so that the check knows what applies.
+    /// Makes random servers announce limits at the start of the run, and one now and then later. A limit does not change
+    /// while it lasts, so that the check knows what applies.
     pub fn inject_next(&mut self, fleet: &mut Fleet) {
         let named = if self.is_started {
-            usize::from(self.rng.random_bool(NAME_PROBABILITY))
+            usize::from(self.rng.random_bool(ANNOUNCE_PROBABILITY))
         } else {
             FIRST_LIMITS
         };
@@ -68,7 +68,7 @@
     }
 }
 
-/// Span of time in which a server named one limit.
+/// Span of time in which a server announced one limit.
 struct Period {
     rate: f64,
     from: Instant,
@@ -148,7 +148,7 @@
         let must_obey = |at: Instant| {
             let from = last_disturbance(process, at).map_or(period.from, |disturbed| disturbed.max(period.from));
             let heard = relayed.iter().filter(|relayed| **relayed > from).min();
-            at >= period.from + NAMED_GRACE && heard.is_some_and(|heard| at >= *heard + RELAYED_GRACE)
+            at >= period.from + ANNOUNCED_GRACE && heard.is_some_and(|heard| at >= *heard + RELAYED_GRACE)
         };
         let times = in_period.iter().map(|arrival| arrival.received_at);
         counted.extend(times.filter(|at| must_obey(*at)));
--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -285,7 +285,7 @@
         (backend.entry.started_ms == started_ms).then_some(backend)
     }
 
-    /// Returns the known servers that name a rate limit or have named one.
+    /// Returns the known servers that have, or had, a rate limit.
     pub fn limited(&self) -> impl Iterator<Item = &Arc<Backend>> {
         let backends = self.servers.values().map(|record| &record.backend);
         backends.filter(|backend| backend.state().rate_limit().is_some())
--- a/src/process/backends/rate_limit.rs
+++ b/src/process/backends/rate_limit.rs
@@ -1,7 +1,7 @@
-//! Rate limits that backend servers name in their responses, and the share of one instance.
+//! Rate limits that backend servers announce in their responses, and the share of one instance.
 //!
-//! A server in need names the requests per second that it accepts from all instances together, in every response for as
-//! long as the limit applies. Instances do not agree on shares: each computes its own from the list of instances, so the
+//! An overloaded server announces the requests per second that it accepts from all instances together, in every response
+//! for as long as the limit applies. Instances do not agree on shares: each computes its own from the list of instances, so the
 //! shares add up to the limit as long as the lists are the same. See "Rate limits" in `docs/design/rate-limits.md`.
 
 use std::time::Duration;
@@ -13,7 +13,7 @@
 /// Requests per second.
 pub type RequestRate = f64;
 
-/// Limit that is applied at least, so that some requests still show when the server names no limit any more.
+/// Limit that is applied at least, so that some requests still show when the limit ends.
 const MIN_RATE: RequestRate = 0.5;
 
 /// Number of instances that share a limit, for each request per second of it. The other instances send nothing: if each
@@ -30,16 +30,16 @@
 /// Time for which unused requests accumulate.
 const BURST_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which the lowest limit of a server stays in effect after the server named a higher one. A server that raises
-/// its limit is still in need, and requests that return at once would make it lower the limit again.
+/// Time for which the lowest limit of a server stays in effect after the server announced a higher one. A server that
+/// raises its limit is still overloaded, and requests that return at once would make it lower the limit again.
 const RISE_DELAY: Duration = Duration::from_secs(30);
 
-/// Statement of a response about the rate limit of its server.
+/// What a response announces about the rate limit of its server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitNotice {
     /// The server accepts this rate from all instances together.
     Limited(RequestRate),
-    /// The server names no limit.
+    /// There is no limit.
     Unlimited,
 }
 
@@ -66,6 +66,8 @@
 pub struct Sender<'a> {
     /// Name of the instance.
     pub instance: &'a str,
+    /// Hash of the name. Callers compute it once, since all shares are computed again in every gossip round.
+    pub hash: NameHash,
     /// Whether the instance runs in the data centre of the server.
     pub is_local: bool,
 }
@@ -78,7 +80,7 @@
     /// Returns the rank of this instance at `server`; the lowest ranks share the limit. Weighted rendezvous hashing, so
     /// that an instance that joins or leaves changes the choice of at most one other.
     fn rank(&self, server: NameHash) -> f64 {
-        let score = rank::score(server, NameHash::of(self.instance));
+        let score = rank::score(server, self.hash);
         let uniform = (score as f64 + 1.0) / 2.0_f64.powi(64);
         -uniform.ln() / self.weight()
     }
@@ -176,19 +178,19 @@
     }
 }
 
-/// Lowest rate that a server named lately.
+/// Lowest rate that a server announced recently.
 #[derive(Debug, Clone, Copy)]
 struct LowestRate {
     rate: RequestRate,
-    named_at: Instant,
+    announced_at: Instant,
 }
 
 impl LowestRate {
-    /// Returns the lowest rate after the server named `rate` at `at`.
+    /// Returns the lowest rate after the server announced `rate` at `at`.
     fn with(self, rate: RequestRate, at: Instant) -> Self {
-        let is_over = at.saturating_duration_since(self.named_at) >= RISE_DELAY;
+        let is_over = at.saturating_duration_since(self.announced_at) >= RISE_DELAY;
         if is_over || rate <= self.rate {
-            Self { rate, named_at: at }
+            Self { rate, announced_at: at }
         } else {
             self
         }
@@ -199,30 +201,30 @@
 #[derive(Debug, Clone, Copy)]
 pub struct RateLimit {
     notice: LimitNotice,
-    /// Time of the newest statement of the server, made to this or another instance.
-    heard_at: Instant,
-    /// Lowest rate since the server began to name a limit; `None` while it names none.
+    /// Time of the newest response with a notice, received by this or another instance.
+    notified_at: Instant,
+    /// Lowest rate since the limit began; `None` while there is no limit.
     lowest: Option<LowestRate>,
     pacer: Pacer,
 }
 
 impl RateLimit {
-    /// Creates the limit of a server that named one for the first time. [`RateLimit::set_share`] has to follow; until
+    /// Creates the limit of a server that announced one for the first time. [`RateLimit::set_share`] has to follow; until
     /// then no request may be sent.
     #[must_use]
     pub const fn new(rate: RequestRate, at: Instant) -> Self {
         Self {
             notice: LimitNotice::Limited(rate),
-            heard_at: at,
-            lowest: Some(LowestRate { rate, named_at: at }),
+            notified_at: at,
+            lowest: Some(LowestRate { rate, announced_at: at }),
             pacer: Pacer::new(0.0, at),
         }
     }
 
-    /// Returns the newest statement of the server and its time.
+    /// Returns the newest notice and its time.
     #[must_use]
-    pub const fn heard(&self) -> (LimitNotice, Instant) {
-        (self.notice, self.heard_at)
+    pub const fn last_notice(&self) -> (LimitNotice, Instant) {
+        (self.notice, self.notified_at)
     }
 
     /// Returns the rate in effect for all instances together, or `None` if there is no limit. It follows a lower limit at
@@ -232,10 +234,9 @@
         self.lowest.map(|lowest| lowest.rate)
     }
 
-    /// Records a statement that the server made at `at`. Returns whether it differs from the one before. Older statements
-    /// are ignored.
+    /// Records a notice received at `at`. Returns whether it differs from the one before. Older notices are ignored.
     pub fn on_notice(&mut self, notice: LimitNotice, at: Instant) -> bool {
-        if at <= self.heard_at {
+        if at <= self.notified_at {
             return false;
         }
         let is_new = self.notice != notice;
@@ -243,10 +244,10 @@
             self.pacer = Pacer::new(0.0, at);
         }
         self.notice = notice;
-        self.heard_at = at;
+        self.notified_at = at;
         self.lowest = notice.rate().map(|rate| match self.lowest {
             Some(lowest) => lowest.with(rate, at),
-            None => LowestRate { rate, named_at: at },
+            None => LowestRate { rate, announced_at: at },
         });
         is_new
     }
@@ -273,7 +274,7 @@
     pub fn available_at(&self, reserve: f64) -> Option<Instant> {
         match self.notice {
             LimitNotice::Limited(_) => self.pacer.available_at(reserve),
-            LimitNotice::Unlimited => Some(self.heard_at),
+            LimitNotice::Unlimited => Some(self.notified_at),
         }
     }
 }
--- a/src/process/backends/selection.rs
+++ b/src/process/backends/selection.rs
@@ -32,8 +32,8 @@
 /// all selecting the same server.
 const COST_JITTER: f64 = 0.1;
 
-/// Share of the in-flight limit, and of the unused requests of a rate limit, that a route may use while another route to the same service is more urgent. The rest
-/// is reserved for the urgent route.
+/// Share of the in-flight limit, and of the unused requests of a rate limit, that a route may use while another route
+/// to the same service is more urgent. The rest is reserved for the urgent route.
 const LOW_PRIORITY_SHARE: f64 = 0.75;
 
 /// Requirements of an attempt.
@@ -90,7 +90,7 @@
         }
         match state.limit_admits_at(limit_reserve(requirements), now) {
             Some(at) if at <= now => {}
-            // Worth waiting for, unlike a limit that admits no request before the request is given up.
+            // The request can wait that long; otherwise the server counts as unavailable.
             Some(at) if at <= now + objective.mul_f64(MAX_WAIT_SHARE) => {
                 is_saturated = true;
                 continue;
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -146,7 +146,7 @@
     full_until: Option<Instant>,
     /// End of the Retry-After time that the server requested.
     backoff_until: Option<Instant>,
-    /// Rate limit of the server; `None` if it never named one.
+    /// Rate limit of the server; `None` if it never announced one.
     rate_limit: Option<RateLimit>,
     /// Requests sent while there is a rate limit, since the last call of [`ServerState::take_sends`].
     sends: SendCounts,
@@ -183,7 +183,7 @@
 
     /// Records that a request with the expected latency `expected` was sent.
     pub fn begin(&mut self, cause: Cause, expected: Duration, now: Instant) -> InFlightId {
-        if let Some(limit) = &mut self.rate_limit {
+        if let Some(limit) = self.rate_limit.as_mut().filter(|limit| limit.rate().is_some()) {
             limit.on_send(now);
             self.sends.count(cause);
         }
@@ -276,23 +276,22 @@
     }
 
     /// Returns the numbers of requests sent since the last call.
-    pub const fn take_sends(&mut self) -> SendCounts {
-        std::mem::replace(&mut self.sends, SendCounts { first: 0, repeated: 0 })
+    pub fn take_sends(&mut self) -> SendCounts {
+        std::mem::take(&mut self.sends)
     }
 
-    /// Records what the response to a request sent at `sent` says about the rate limit. Returns the statement before if
-    /// it was another one. A response without a limit ends the limit only if its request was sent after the server named
-    /// it: an earlier one may have been answered before.
+    /// Records the notice in the response to a request sent at `sent`. Returns the notice before if it was another one. A
+    /// response without a limit ends the limit only if its request was sent after the last notice: an earlier request may
+    /// have been answered before.
     pub fn on_limit_notice(&mut self, notice: LimitNotice, sent: Instant, now: Instant) -> Option<LimitNotice> {
-        let is_outdated = self.rate_limit.is_some_and(|limit| sent <= limit.heard().1);
+        let is_outdated = self.rate_limit.is_some_and(|limit| sent <= limit.last_notice().1);
         if notice == LimitNotice::Unlimited && is_outdated {
             return None;
         }
         self.on_peer_limit_notice(notice, now)
     }
 
-    /// Records a statement about the rate limit that the server made to another instance at `at`. Returns the statement
-    /// before if it was another one.
+    /// Records a notice that another instance received at `at`. Returns the notice before if it was another one.
     pub fn on_peer_limit_notice(&mut self, notice: LimitNotice, at: Instant) -> Option<LimitNotice> {
         match (&mut self.rate_limit, notice) {
             (None, LimitNotice::Unlimited) => None,
@@ -302,19 +301,19 @@
                 Some(LimitNotice::Unlimited)
             }
             (Some(limit), notice) => {
-                let (before, _) = limit.heard();
+                let (before, _) = limit.last_notice();
                 limit.on_notice(notice, at).then_some(before)
             }
         }
     }
 
-    /// Returns the rate limit, or `None` if the server never named one.
+    /// Returns the rate limit, or `None` if the server never announced one.
     #[must_use]
     pub const fn rate_limit(&self) -> Option<&RateLimit> {
         self.rate_limit.as_ref()
     }
 
-    /// Sets the rate at which this instance may send while the server names a limit.
+    /// Sets the rate at which this instance may send while there is a rate limit.
     pub fn set_limit_share(&mut self, share: RequestRate, now: Instant) {
         if let Some(limit) = &mut self.rate_limit {
             limit.set_share(share, now);
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -48,7 +48,7 @@
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) denied_extras: Counter,
     pub(crate) notices: Family<NoticeLabels, Counter>,
-    /// Number of backend servers that name a rate limit.
+    /// Number of backend servers that have a rate limit.
     pub(crate) limited_servers: Gauge,
     pub(crate) revision: Gauge,
     /// Seconds for which the newest change of the platform has not been reached; 0 when the state is current.
@@ -89,7 +89,7 @@
         );
         registry.register(
             "limited_servers",
-            "Backend servers that name a rate limit",
+            "Backend servers that have a rate limit",
             metrics.limited_servers.clone(),
         );
         registry.register("revision", "Configuration revision in effect", metrics.revision.clone());
--- a/src/process/gateway/rate_limits.rs
+++ b/src/process/gateway/rate_limits.rs
@@ -1,5 +1,5 @@
-//! Applies the rate limits that backend servers name, passes them on to other instances, and reports the requests sent to
-//! limited servers. The decisions are in [`crate::process::backends::rate_limit`].
+//! Applies the rate limits that backend servers announce, passes them on to other instances, and reports the requests
+//! sent to limited servers. The decisions are in [`crate::process::backends::rate_limit`].
 
 use std::sync::Arc;
 use std::sync::PoisonError;
@@ -24,11 +24,11 @@
 /// Maximum number of limits in a message to another instance.
 const MAX_LIMITS: usize = 64;
 
-/// Time for which instances tell each other what a server said. Until then each has heard it.
+/// Time for which a notice is passed on. By then it has reached every instance.
 const NOTICE_TTL: Duration = Duration::from_secs(60);
 
 impl Gateway {
-    /// Records that a server said something else about its rate limit than before.
+    /// Records that the rate limit of a server began, ended or changed.
     pub(super) fn on_limit_change(&self, server: &Backend, before: LimitNotice, notice: LimitNotice) {
         let share = self.update_limit_share(server);
         if notice.rate().is_some() {
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Applies what another instance heard of the rate limits of servers.
+    /// Applies notices that another instance passed on.
     pub(super) fn on_peer_limits(&self, limits: &[proto::ServerLimit], now: Instant) {
         for limit in limits.iter().take(MAX_LIMITS) {
             let notice = match limit.rate {
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Computes the share of this instance in the rate limit of a server. Returns `None` if the server names no limit.
+    /// Computes the share of this instance in the rate limit of a server. Returns `None` if there is no limit.
     fn update_limit_share(&self, server: &Backend) -> Option<RequestRate> {
         let rate = server.state().rate_limit()?.rate()?;
         let entry = &server.entry;
@@ -82,7 +82,7 @@
         Some(share)
     }
 
-    /// Returns the servers that name a rate limit.
+    /// Returns the servers that have a rate limit.
     fn limited_servers(&self) -> Vec<Arc<Backend>> {
         let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
         let limited = platform.directory.limited().filter(|server| {
@@ -112,10 +112,10 @@
     }
 }
 
-/// Returns some of the rate limits that this instance heard of lately, and of their ends, for another instance.
-pub(super) fn heard_limits(directory: &Directory, now: Instant) -> Vec<proto::ServerLimit> {
-    let heard = directory.limited().filter_map(|server| {
-        let (notice, at) = server.state().rate_limit()?.heard();
+/// Returns some of the recent notices, for another instance.
+pub(super) fn recent_notices(directory: &Directory, now: Instant) -> Vec<proto::ServerLimit> {
+    let recent = directory.limited().filter_map(|server| {
+        let (notice, at) = server.state().rate_limit()?.last_notice();
         let age = now.saturating_duration_since(at);
         (age <= NOTICE_TTL).then(|| proto::ServerLimit {
             server: server.entry.id.to_string(),
@@ -124,7 +124,7 @@
             age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
         })
     });
-    heard.choose_multiple(&mut rand::rng(), MAX_LIMITS)
+    recent.choose_multiple(&mut rand::rng(), MAX_LIMITS)
 }
 
 /// Reports the requests sent to limited servers until the process ends.
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -66,7 +66,7 @@
             position,
             cut: platform.directory.is_platform_lost() || platform.position.is_none(),
             values: if sends_values { values.collect() } else { Vec::new() },
-            limits: rate_limits::heard_limits(&platform.directory, now),
+            limits: rate_limits::recent_notices(&platform.directory, now),
         }
     }
 
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -66,6 +66,8 @@
 #[derive(Debug, Clone)]
 struct Member {
     address: SocketAddr,
+    /// Hash of the name of the instance.
+    hash: NameHash,
     data_centre: DataCentreId,
     last_seen: Instant,
 }
@@ -155,6 +157,7 @@
             let Some(last_seen) = last_seen else { continue };
             let update = Member {
                 address,
+                hash: NameHash::of(&member.instance),
                 data_centre: member.data_centre.as_str().into(),
                 last_seen,
             };
@@ -205,16 +208,17 @@
         if self.members.is_empty() {
             return rate_limit::assumed_share(rate, self.assumed.all);
         }
-        let others = self
-            .members
-            .iter()
-            .map(|(instance, member)| (instance, &member.data_centre));
-        let all = others.chain([(&self.own, &self.data_centre)]);
-        let senders = all.map(|(instance, located)| Sender {
+        let own = Sender {
+            instance: &self.own,
+            hash: NameHash::of(&self.own),
+            is_local: *self.data_centre == *data_centre,
+        };
+        let others = self.members.iter().map(|(instance, member)| Sender {
             instance,
-            is_local: **located == *data_centre,
+            hash: member.hash,
+            is_local: *member.data_centre == *data_centre,
         });
-        let shares = rate_limit::shares(rate, server, senders);
+        let shares = rate_limit::shares(rate, server, others.chain([own]));
         let own = shares.into_iter().find(|(sender, _)| *sender.instance == *self.own);
         own.map_or(0.0, |(_, share)| share)
     }
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -439,8 +439,8 @@
     /// All platform values known to the sender, for a receiver that cannot read the platform and is behind.
     #[prost(message, repeated, tag = "4")]
     pub values: ::prost::alloc::vec::Vec<StoredValue>,
-    /// What backend servers said about their rate limits. An instance that sends no requests to a server learns from it when
-    /// the server names no limit any more.
+    /// Rate limits that backend servers announced. An instance that sends no requests to a server learns from them when the
+    /// limit ends.
     #[prost(message, repeated, tag = "5")]
     pub limits: ::prost::alloc::vec::Vec<ServerLimit>,
 }
@@ -451,10 +451,10 @@
     /// Start time of the incarnation of the server, in Unix milliseconds.
     #[prost(uint64, tag = "2")]
     pub started_ms: u64,
-    /// Requests per second that the server accepts from all instances together. Absent when it names no limit any more.
+    /// Requests per second that the server accepts from all instances together. Absent when the limit has ended.
     #[prost(double, optional, tag = "3")]
     pub rate: ::core::option::Option<f64>,
-    /// Time since the server said so.
+    /// Time since the response of the server.
     #[prost(uint64, tag = "4")]
     pub age_us: u64,
 }
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -1,4 +1,4 @@
-//! Rate limits that backend servers name: the shares of the instances, and how each keeps its share.
+//! Rate limits that backend servers announce: the shares of the instances, and how each keeps its share.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +10,7 @@
 use pimentoflow::process::backends::rate_limit::RequestRate;
 use pimentoflow::process::backends::rate_limit::Sender;
 use pimentoflow::process::backends::server_state::ServerState;
+use pimentoflow::process::ownership::rank::NameHash;
 use pimentoflow::request::fanout::Cause;
 
 /// Length of the span over which requests are counted, in steps.
@@ -34,6 +35,7 @@
 fn senders(rate: RequestRate, server: &str, fleet: &[(String, bool)]) -> IndexMap<String, RequestRate> {
     let senders = fleet.iter().map(|(instance, is_local)| Sender {
         instance,
+        hash: NameHash::of(instance),
         is_local: *is_local,
     });
     let shares = rate_limit::shares(rate, server, senders);
@@ -140,8 +142,8 @@
     assert!((1..=5).contains(&sent), "{sent} requests");
 }
 
-/// Guards against a response that was sent before the server named a limit and ends it, and against a limit that stays
-/// after a later response named none.
+/// Guards against a response that was sent before the server announced a limit and ends it, and against a limit that stays
+/// after a later response without it.
 #[test]
 fn only_a_later_response_ends_a_limit() {
     let start = Instant::now();
@@ -187,18 +189,24 @@
     assert_eq!(limit.rate(), Some(30.0));
 }
 
-/// Guards against outdated statements of other instances that bring back a limit that has ended, or end a newer one.
+/// Guards against outdated notices of other instances that bring back a limit that has ended, or end a newer one.
 #[test]
-fn older_statements_of_other_instances_are_ignored() {
+fn older_notices_of_other_instances_are_ignored() {
     let start = Instant::now();
     let at = |ms: u64| start + Duration::from_millis(ms);
     let mut state = ServerState::new(3, Duration::ZERO, start);
-    let named = LimitNotice::Limited(4.0);
+    let limited = LimitNotice::Limited(4.0);
     assert_eq!(state.on_peer_limit_notice(LimitNotice::Unlimited, at(5)), None);
-    assert_eq!(state.on_peer_limit_notice(named, at(10)), Some(LimitNotice::Unlimited));
+    assert_eq!(
+        state.on_peer_limit_notice(limited, at(10)),
+        Some(LimitNotice::Unlimited)
+    );
     assert_eq!(state.on_peer_limit_notice(LimitNotice::Unlimited, at(5)), None);
-    assert_eq!(state.on_peer_limit_notice(LimitNotice::Unlimited, at(20)), Some(named));
-    assert_eq!(state.on_peer_limit_notice(named, at(15)), None);
+    assert_eq!(
+        state.on_peer_limit_notice(LimitNotice::Unlimited, at(20)),
+        Some(limited)
+    );
+    assert_eq!(state.on_peer_limit_notice(limited, at(15)), None);
     assert_eq!(state.rate_limit().and_then(RateLimit::rate), None);
 }
 
