gateway: log and count the eras of the platform

The logs of a store that returns from a copy show neither that it did nor which of its histories a position belongs to, so they cannot tell a change that was missed from a quiet store.

The gateway logs the event platform_era when it changes, with the positions before and after, and exports the gauge platform_era and the counter platform_full_reads.

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -128,6 +128,9 @@
 /// Position in the platform's sequence of changes.
 pub type Position = u64;
 
+/// Number of times that the platform has returned from a copy of its state; 0 if the platform does not count them.
+pub type Era = u64;
+
 /// A decoded value of the platform.
 #[derive(Debug)]
 pub enum Item {
@@ -164,6 +167,8 @@
     pub changes: Vec<Change>,
     /// Position after these values.
     pub position: Position,
+    /// Era of the platform in which they were read.
+    pub era: Era,
     /// Whether the platform had no further changes when it responded.
     pub is_complete: bool,
     /// Where the values were read.
--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -118,6 +118,7 @@
         Ok(Changes {
             changes: changes.collect(),
             position: followed.position,
+            era: 0,
             is_complete: followed.complete,
             origin: Origin::Instance {
                 age: Duration::from_micros(followed.age_us),
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -53,6 +53,10 @@
     pub(crate) revision: Gauge,
     /// Seconds for which the newest change of the platform has not been reached; 0 when the state is current.
     pub(crate) platform_lag: Gauge<f64, AtomicU64>,
+    /// Era of the platform at the last read.
+    pub(crate) platform_era: Gauge,
+    /// Number of reads of all values of the platform.
+    pub(crate) full_reads: Counter,
 }
 
 impl fmt::Debug for GatewayMetrics {
@@ -72,6 +76,8 @@
             limited_servers: Gauge::default(),
             revision: Gauge::default(),
             platform_lag: Gauge::default(),
+            platform_era: Gauge::default(),
+            full_reads: Counter::default(),
         };
         let mut registry = Registry::with_prefix("pimento_gateway");
         registry.register("requests", "Requests of callers answered", metrics.requests.clone());
@@ -98,6 +104,16 @@
             "Time for which changes have been followed without reaching the newest one",
             metrics.platform_lag.clone(),
         );
+        registry.register(
+            "platform_era",
+            "Number of times that the platform has returned from a copy of its state",
+            metrics.platform_era.clone(),
+        );
+        registry.register(
+            "platform_full_reads",
+            "Reads of all values of the platform",
+            metrics.full_reads.clone(),
+        );
         (metrics, registry)
     }
 
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -20,6 +20,7 @@
 use crate::process::discovery;
 use crate::process::discovery::Change;
 use crate::process::discovery::Changes;
+use crate::process::discovery::Era;
 use crate::process::discovery::History;
 use crate::process::discovery::Item;
 use crate::process::discovery::Origin;
@@ -43,6 +44,8 @@
     /// Values as they were read, for instances that cannot read the platform.
     pub(super) values: IndexMap<Box<str>, Bytes>,
     pub(super) position: Option<Position>,
+    /// Era of the platform at the last read by this instance.
+    pub(super) era: Option<Era>,
     /// Whether the last read was served by another instance.
     pub(super) is_follower: bool,
     /// Recent changes, for instances that follow this one.
@@ -69,6 +72,12 @@
         let mut platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
         platform.directory.on_platform_read(now);
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+        if read.origin == Origin::Platform {
+            self.on_era(&mut platform, &read);
+        }
+        if scope == ReadScope::Full {
+            self.metrics.full_reads.inc();
+        }
         if platform.position.is_some_and(|current| read.position < current) {
             info!(self.log, "platform_read_outdated"; "position" => read.position, "known" => platform.position);
             if platform.relayed_at.is_none_or(|at| at < started) {
@@ -97,6 +106,18 @@
         self.read_ended.send_replace(());
     }
 
+    /// Logs a change of the platform's era.
+    fn on_era(&self, platform: &mut PlatformState, read: &Changes) {
+        let before = platform.era.replace(read.era);
+        if before.is_some_and(|before| before != read.era) {
+            warn!(self.log, "platform_era"; "era" => read.era, "before" => before, "position" => read.position,
+                "known" => platform.position);
+        }
+        self.metrics
+            .platform_era
+            .set(i64::try_from(read.era).unwrap_or(i64::MAX));
+    }
+
     /// Applies the complete state that another instance read up to `position`. It is ignored while this instance can
     /// read the platform itself.
     pub(crate) fn on_relayed(&self, changes: Vec<Change>, position: Position) {
