discovery: identify a position by the era and the revision

Callers saw a route that had been confirmed refused with 404 for as long as nothing else changed: after the store returned from a copy, the instance waited for changes after its old revision. Once the store had given this revision out again, the wait succeeded, and everything written before it was never read. An instance without access to the store got nothing from the others while their revision was lower than its own, and a full read with a lower revision was dropped as outdated in favour of the lost state.

Cause: a revision was taken for a position, but it identifies a change only within one history of the store. Positions are now pairs of era and revision, ordered by era, on all ways they take: reads, the history for followers, rosters and Follow/Followed (new fields; instances of earlier builds send era 0 and fall back to reading the platform).

Ruled out: clearing the position after each outage. The store can be back before an instance notices that it was away, and relayed positions outlive the outage.

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -10,6 +10,7 @@
 
 mod history;
 
+use std::fmt;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -125,12 +126,37 @@
     }
 }
 
-/// Position in the platform's sequence of changes.
-pub type Position = u64;
-
-/// Number of times that the platform has returned from a copy of its state; 0 if the platform does not count them.
+/// Number of the platform's history. It rises when the platform returns from a copy of its state, which begins a new
+/// history after the copy. 0 if the platform does not number them.
 pub type Era = u64;
 
+/// Position in the platform's sequence of changes. The platform gives revisions out again in a later era, so a revision
+/// identifies a change only together with its era. A position of a later era is greater whatever its revision is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Era in which the revision was given out.
+    pub era: Era,
+    /// Revision of the last change.
+    pub revision: u64,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.era, self.revision)
+    }
+}
+
+impl slog::Value for Position {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        serializer.emit_arguments(key, &format_args!("{self}"))
+    }
+}
+
 /// A decoded value of the platform.
 #[derive(Debug)]
 pub enum Item {
@@ -167,8 +193,6 @@
     pub changes: Vec<Change>,
     /// Position after these values.
     pub position: Position,
-    /// Era of the platform in which they were read.
-    pub era: Era,
     /// Whether the platform had no further changes when it responded.
     pub is_complete: bool,
     /// Where the values were read.
@@ -188,6 +212,20 @@
 }
 
 impl Changes {
+    /// Returns the changes if they continue from `position`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Restored`] if they belong to another era. Its changes up to the revision of `position` were
+    /// never read.
+    pub fn continuing(self, position: Position) -> Result<Self, ReadError> {
+        if self.position.era == position.era {
+            Ok(self)
+        } else {
+            Err(ReadError::Restored)
+        }
+    }
+
     /// Returns the outcome of the read.
     #[must_use]
     pub fn outcome(&self) -> ReadOutcome {
@@ -234,6 +272,9 @@
     /// The platform no longer has the changes after the position, so everything has to be read again.
     #[error("changes after the requested position are no longer available")]
     Compacted,
+    /// The platform has returned from a copy, so it does not have the history to which the position belongs.
+    #[error("the platform has returned from a copy of its state")]
+    Restored,
     /// The response violates the platform's protocol.
     #[error("malformed response from the platform: {0}")]
     Malformed(Box<str>),
@@ -252,8 +293,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Compacted`] if the platform no longer has the changes, and another error if it cannot be
-    /// read.
+    /// Returns [`ReadError::Compacted`] or [`ReadError::Restored`] if the platform does not have the changes, and another
+    /// error if it cannot be read.
     fn read_changes(
         &mut self,
         position: Position,
@@ -312,6 +353,7 @@
                     read = client.read_changes(position, wait) => read,
                     () = gateway.read_request.notified() => continue,
                 };
+                let read = read.and_then(|read| read.continuing(position));
                 (ReadScope::Incremental, read)
             }
         };
@@ -337,6 +379,10 @@
                     tokio::time::sleep(gateway.bound_for_followers(pause)).await;
                 }
             }
+            Err(ReadError::Restored) if scope == ReadScope::Incremental => {
+                info!(gateway.log, "platform_restored"; "position" => position);
+                needs_full_read = true;
+            }
             Err(ReadError::Compacted) => {
                 info!(gateway.log, "platform_changes_forgotten"; "position" => position);
                 needs_full_read = true;
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -131,7 +131,6 @@
             directory: Directory::new(settings.data_centre.clone()),
             values: IndexMap::new(),
             position: None,
-            era: None,
             is_follower: false,
             history: History::default(),
             complete_at: None,
--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -98,7 +98,12 @@
                 _ => Framed::new(TcpStream::connect(address).await?, FrameCodec::new()),
             };
             let wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u64::MAX);
-            reader.send(Body::Follow(proto::Follow { position, wait_ms })).await?;
+            let request = proto::Follow {
+                position: position.revision,
+                wait_ms,
+                era: position.era,
+            };
+            reader.send(Body::Follow(request)).await?;
             match reader.next().await {
                 Some(Ok(Body::Followed(followed))) => Ok((reader, followed)),
                 Some(Err(error)) => Err(error.into()),
@@ -107,7 +112,11 @@
         };
         let result = tokio::time::timeout(time, exchange).await;
         let (reader, followed) = result.map_err(|_elapsed| FollowError::TimedOut)??;
-        if followed.stale || followed.position < position {
+        let reached = Position {
+            era: followed.era,
+            revision: followed.position,
+        };
+        if followed.stale || reached.era != position.era || reached < position {
             return Err(FollowError::Stale);
         }
         self.reader = Some((address, reader));
@@ -117,8 +126,7 @@
         });
         Ok(Changes {
             changes: changes.collect(),
-            position: followed.position,
-            era: 0,
+            position: reached,
             is_complete: followed.complete,
             origin: Origin::Instance {
                 age: Duration::from_micros(followed.age_us),
@@ -152,10 +160,14 @@
 /// Serves a request of a follower. Returns the changes after its position as soon as there are any, or an empty reply
 /// when the wait time is over.
 pub(super) async fn serve(gateway: &Gateway, request: proto::Follow) -> proto::Followed {
+    let position = Position {
+        era: request.era,
+        revision: request.position,
+    };
     let mut read_ended = gateway.read_ended.subscribe();
     let end = tokio::time::Instant::now() + Duration::from_millis(request.wait_ms).min(FOLLOW_WAIT);
     loop {
-        let followed = gateway.changes_since(request.position);
+        let followed = gateway.changes_since(position);
         let has_changes = followed.stale || !followed.changes.is_empty();
         if has_changes || tokio::time::timeout_at(end, read_ended.changed()).await.is_err() {
             return followed;
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -20,7 +20,6 @@
 use crate::process::discovery;
 use crate::process::discovery::Change;
 use crate::process::discovery::Changes;
-use crate::process::discovery::Era;
 use crate::process::discovery::History;
 use crate::process::discovery::Item;
 use crate::process::discovery::Origin;
@@ -44,8 +43,6 @@
     /// Values as they were read, for instances that cannot read the platform.
     pub(super) values: IndexMap<Box<str>, Bytes>,
     pub(super) position: Option<Position>,
-    /// Era of the platform at the last read by this instance.
-    pub(super) era: Option<Era>,
     /// Whether the last read was served by another instance.
     pub(super) is_follower: bool,
     /// Recent changes, for instances that follow this one.
@@ -73,7 +70,7 @@
         platform.directory.on_platform_read(now);
         *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         if read.origin == Origin::Platform {
-            self.on_era(&mut platform, &read);
+            self.on_era(&platform, read.position);
         }
         if scope == ReadScope::Full {
             self.metrics.full_reads.inc();
@@ -106,16 +103,14 @@
         self.read_ended.send_replace(());
     }
 
-    /// Logs a change of the platform's era.
-    fn on_era(&self, platform: &mut PlatformState, read: &Changes) {
-        let before = platform.era.replace(read.era);
-        if before.is_some_and(|before| before != read.era) {
-            warn!(self.log, "platform_era"; "era" => read.era, "before" => before, "position" => read.position,
-                "known" => platform.position);
+    /// Logs a change of the platform's era by a read up to `position`.
+    fn on_era(&self, platform: &PlatformState, position: Position) {
+        if platform.position.is_some_and(|current| current.era != position.era) {
+            warn!(self.log, "platform_era"; "position" => position, "known" => platform.position);
         }
         self.metrics
             .platform_era
-            .set(i64::try_from(read.era).unwrap_or(i64::MAX));
+            .set(i64::try_from(position.era).unwrap_or(i64::MAX));
     }
 
     /// Applies the complete state that another instance read up to `position`. It is ignored while this instance can
@@ -224,9 +219,11 @@
         };
         let is_stale =
             platform.is_follower || platform.directory.is_platform_lost() || age.is_none_or(|age| age > MAX_STATE_AGE);
+        let known = platform.position.unwrap_or_default();
         let stored = changes.as_ref().filter(|_| !is_stale).into_iter().flatten();
         proto::Followed {
-            position: platform.position.unwrap_or_default(),
+            era: known.era,
+            position: known.revision,
             complete: self.metrics.platform_lag.get() == 0.0,
             stale: is_stale || changes.is_none(),
             age_us: u64::try_from(age.unwrap_or_default().as_micros()).unwrap_or(u64::MAX),
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -19,6 +19,7 @@
 use tokio_util::codec::Framed;
 
 use crate::process::discovery::Change;
+use crate::process::discovery::Position;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::followers;
 use crate::process::gateway::rate_limits;
@@ -56,14 +57,15 @@
         let members = self.gossip.lock().unwrap_or_else(PoisonError::into_inner).members(now);
         let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
         let position = platform.position.unwrap_or_default();
-        let sends_values = requester.is_some_and(|requester| requester.cut && requester.position < position);
+        let sends_values = requester.is_some_and(|requester| requester.cut && roster_position(requester) < position);
         let values = platform.values.iter().map(|(key, value)| proto::StoredValue {
             key: key.to_string(),
             value: value.clone(),
         });
         proto::Roster {
             members,
-            position,
+            era: position.era,
+            position: position.revision,
             cut: platform.directory.is_platform_lost() || platform.position.is_none(),
             values: if sends_values { values.collect() } else { Vec::new() },
             limits: rate_limits::recent_notices(&platform.directory, now),
@@ -82,6 +84,7 @@
             self.on_instances(before, count);
         }
         self.on_peer_limits(&roster.limits, now);
+        let position = roster_position(&roster);
         if roster.values.is_empty() {
             return;
         }
@@ -89,7 +92,7 @@
             key: stored.key.into(),
             value: Some(stored.value),
         });
-        self.on_relayed(changes.collect(), roster.position);
+        self.on_relayed(changes.collect(), position);
     }
 
     /// Removes expired instances, and returns the partner of the next exchange and the time until the one after.
@@ -115,6 +118,14 @@
     }
 }
 
+/// Returns the position up to which the sender of a roster has read the platform.
+const fn roster_position(roster: &proto::Roster) -> Position {
+    Position {
+        era: roster.era,
+        revision: roster.position,
+    }
+}
+
 /// Exchanges rosters with other instances until the process ends.
 pub(super) async fn run_exchanges(gateway: Arc<Gateway>, mut rng: SmallRng) {
     loop {
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -430,7 +430,7 @@
 pub struct Roster {
     #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
-    /// Position in the changes of the platform up to which the sender has read; 0 if it has read none.
+    /// Revision of the platform up to which the sender has read; 0 if it has read none.
     #[prost(uint64, tag = "2")]
     pub position: u64,
     /// True when the sender cannot read the platform and requests the values that the receiver knows.
@@ -443,6 +443,9 @@
     /// limit ends.
     #[prost(message, repeated, tag = "5")]
     pub limits: ::prost::alloc::vec::Vec<ServerLimit>,
+    /// Era of the platform in which the revision `position` was given out.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ServerLimit {
@@ -479,6 +482,9 @@
     /// Maximum time to wait for changes, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
+    /// Era of the platform in which the revision `position` was given out.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Followed {
@@ -496,6 +502,9 @@
     pub age_us: u64,
     #[prost(message, repeated, tag = "5")]
     pub changes: ::prost::alloc::vec::Vec<StoredChange>,
+    /// Era of the platform in which the revision `position` was given out.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoredChange {
