backends: keep servers whose entries were lost with the platform's state

Callers got 503 from a service whose only server had registered after the copy from which the store returned, until it registered again.

Cause: missing entries were tolerated for two seconds after an outage that the instance had noticed, that is, after a failed read. The store can be back before any read fails; then the full read in the new era removed the server at once. A full read in another era now starts the grace period itself.

Ruled out: a longer general tolerance of missing entries; a server that is removed while the store is well must get no more requests.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -28,8 +28,8 @@
 use crate::process::gossip::InstanceCount;
 use crate::version::routing::Routing;
 
-/// Grace period after the end of a platform outage. Entries that lapsed during the outage are renewed within it; a
-/// server whose entry is still missing afterwards is gone.
+/// Grace period after the end of a platform outage, or after the platform returned from a copy. Entries that lapsed or
+/// were lost are renewed within it; a server whose entry is still missing afterwards is gone.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Maximum number of connections to one server if its service sets no limit.
@@ -118,7 +118,7 @@
     Restarted,
     /// The server is leaving and gets no new requests.
     Leaving,
-    /// The entry vanished during a platform outage. The server stays in use for now.
+    /// The entry is missing, but may be renewed. The server stays in use for now.
     Lapsed,
     /// The server was removed.
     Removed,
@@ -128,7 +128,7 @@
 struct ServerRecord {
     backend: Arc<Backend>,
     leaving: bool,
-    /// Whether the entry vanished during an outage and the server is kept until the grace period ends.
+    /// Whether the entry is missing and the server is kept until the grace period ends.
     lapsed: bool,
 }
 
@@ -171,7 +171,7 @@
         self.is_platform_lost
     }
 
-    /// Returns whether a missing entry may still be renewed, that is, during an outage or the grace period after it.
+    /// Returns whether a missing entry may still be renewed, that is, during an outage or a grace period.
     #[must_use]
     pub const fn tolerates_missing(&self) -> bool {
         self.is_platform_lost || self.grace_until.is_some()
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Records that the platform has returned from a copy of its state. Entries written after the copy was made are
+    /// missing until their servers register again, so this starts the grace period, even if no outage was noticed.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.grace_until = Some(now + LAPSE_GRACE);
+    }
+
     /// Adds a server or updates its entry.
     pub fn on_entry(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
         if let Some(record) = self.servers.get_mut(&entry.id)
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -142,6 +142,9 @@
         let items: Vec<Item> = changes.iter().filter_map(self.decoder).collect();
         let mut changed = false;
         if scope == ReadScope::Full {
+            if platform.position.is_some_and(|before| before.era != position.era) {
+                platform.directory.on_restored(now);
+            }
             changed = !platform.has_full_read;
             platform.has_full_read = true;
             platform.values.clear();
