backends: defer restored entries that undo a later state of their server

Cause: an entry read later was taken for written later. A change is, but a listing that crosses a restore also holds entries of the copy. Where one contradicts what is known (server leaving, removed before the restore, or running in a later incarnation), it is now deferred. A change of the entry replaces it at once; what is still listed after the grace period and the time to live of entries (three heartbeats of the settings) belongs to a running server and is applied. Listings outside of this period, and changes, are applied as before.

Ruled out: the sequence number of entries. It does not rise with heartbeats, and a removal has none. A departure that is final for an incarnation: servers whose entries lapse register again in the same one.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -6,6 +6,7 @@
 
 pub mod choice;
 pub mod rate_limit;
+mod restoration;
 pub mod retry_after;
 pub mod selection;
 pub mod server_state;
@@ -24,6 +25,7 @@
 use crate::ids::DataCentreId;
 use crate::ids::SearcherId;
 use crate::ids::ServiceId;
+use crate::process::backends::restoration::Restoration;
 use crate::process::backends::server_state::ServerState;
 use crate::process::gossip::InstanceCount;
 use crate::version::routing::Routing;
@@ -122,6 +124,15 @@
     Lapsed,
     /// The server was removed.
     Removed,
+    /// The entry is older than the known state of the server, so it has no effect for now.
+    Deferred,
+}
+
+/// A removed server.
+#[derive(Debug)]
+struct Departed {
+    backend: Arc<Backend>,
+    removed_at: Instant,
 }
 
 #[derive(Debug)]
@@ -145,23 +156,30 @@
     servers: IndexMap<SearcherId, ServerRecord>,
     /// Servers whose entries are gone. Their state is restored if the entry of the same incarnation comes back,
     /// because a notice from the server is valid for the rest of its incarnation.
-    departed: IndexMap<SearcherId, Arc<Backend>>,
+    departed: IndexMap<SearcherId, Departed>,
     /// End of the grace period for lapsed entries; `None` once the lapsed servers have been removed or renewed.
     grace_until: Option<Instant>,
     /// Whether the last read of the platform failed.
     is_platform_lost: bool,
+    /// Time without a heartbeat after which the platform removes an entry.
+    entry_ttl: Duration,
+    /// Set from the platform's return from a copy until the deferred entries are applied.
+    restoration: Option<Restoration>,
 }
 
 impl Directory {
-    /// Creates an empty directory for an instance in `data_centre`.
+    /// Creates an empty directory for an instance in `data_centre`. `entry_ttl` is the time without a heartbeat after which
+    /// the platform removes an entry.
     #[must_use]
-    pub fn new(data_centre: DataCentreId) -> Self {
+    pub fn new(data_centre: DataCentreId, entry_ttl: Duration) -> Self {
         Self {
             data_centre,
             servers: IndexMap::new(),
             departed: IndexMap::new(),
             grace_until: None,
             is_platform_lost: false,
+            entry_ttl,
+            restoration: None,
         }
     }
 
@@ -192,13 +210,73 @@
     }
 
     /// Records that the platform has returned from a copy of its state. Entries written after the copy was made are
-    /// missing until their servers register again, so this starts the grace period, even if no outage was noticed.
+    /// missing until their servers register again, so this starts the grace period, even if no outage was noticed. Older
+    /// entries that the copy has are handled by [`Directory::on_listed`].
     pub fn on_restored(&mut self, now: Instant) {
         self.grace_until = Some(now + LAPSE_GRACE);
+        self.restoration = Some(Restoration::new(now, LAPSE_GRACE + self.entry_ttl));
+    }
+
+    /// Adds a server or updates its entry from a listing of all entries. Unlike a change, a listed entry may have been
+    /// written before the platform returned from a copy, so it is deferred if it would undo a later state of its server.
+    pub fn on_listed(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
+        let is_over = |restoration: &Restoration| restoration.is_over(now) && !self.is_platform_lost;
+        if self.restoration.as_ref().is_none_or(is_over) || !self.is_outdated(&entry) {
+            return self.on_entry(entry, now);
+        }
+        if let Some(record) = self.servers.get_mut(&entry.id)
+            && !record.backend.entry.is_same_incarnation(&entry)
+        {
+            record.lapsed = true;
+        }
+        if let Some(restoration) = &mut self.restoration {
+            restoration.defer(entry);
+        }
+        EntryChange::Deferred
+    }
+
+    /// Returns whether a listed entry is older than what was known of its server when the platform returned from a copy:
+    /// the server was leaving, removed, or restarted by then.
+    fn is_outdated(&self, entry: &BackendEntry) -> bool {
+        if let Some(record) = self.servers.get(&entry.id) {
+            let known = &record.backend.entry;
+            return if known.is_same_incarnation(entry) {
+                record.leaving && !entry.leaving
+            } else {
+                entry.started_ms <= known.started_ms
+            };
+        }
+        let Some(departed) = self.departed.get(&entry.id) else {
+            return false;
+        };
+        let was_removed = |restoration: &Restoration| departed.removed_at <= restoration.began();
+        self.restoration.as_ref().is_some_and(was_removed) && entry.started_ms <= departed.backend.entry.started_ms
+    }
+
+    /// Applies the deferred entries that are still listed if the directory reflects the state of the platform at `as_of`
+    /// and `as_of` is past the end of the restoration. Returns these entries with their changes.
+    pub fn apply_deferred(&mut self, as_of: Instant, now: Instant) -> Vec<(BackendEntry, EntryChange)> {
+        let is_platform_lost = self.is_platform_lost;
+        let is_over = |restoration: &mut Restoration| restoration.is_over(as_of) && !is_platform_lost;
+        let Some(restoration) = self.restoration.take_if(is_over) else {
+            return Vec::new();
+        };
+        let entries = restoration.into_deferred();
+        entries
+            .map(|entry| (entry.clone(), self.on_entry(entry, now)))
+            .collect()
+    }
+
+    /// Drops the deferred entry of a server, because a later change replaces it.
+    fn drop_deferred(&mut self, id: &str) {
+        if let Some(restoration) = &mut self.restoration {
+            restoration.drop_deferred(id);
+        }
     }
 
     /// Adds a server or updates its entry.
     pub fn on_entry(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
+        self.drop_deferred(&entry.id);
         if let Some(record) = self.servers.get_mut(&entry.id)
             && record.backend.entry.is_same_incarnation(&entry)
         {
@@ -214,7 +292,8 @@
         let leaving = entry.leaving;
         let id = entry.id.clone();
         let departed = self.departed.shift_remove(&id);
-        let returned = departed.filter(|departed| departed.entry.is_same_incarnation(&entry));
+        let returned = departed.map(|departed| departed.backend);
+        let returned = returned.filter(|backend| backend.entry.is_same_incarnation(&entry));
         let record = ServerRecord {
             backend: returned.unwrap_or_else(|| Arc::new(self.new_backend(entry, now))),
             leaving,
@@ -229,7 +308,8 @@
 
     /// Handles a missing entry. While missing entries are tolerated, a server that is not leaving is kept as lapsed;
     /// otherwise the server is removed.
-    pub fn on_missing(&mut self, id: &str) -> EntryChange {
+    pub fn on_missing(&mut self, id: &str, now: Instant) -> EntryChange {
+        self.drop_deferred(id);
         let tolerated = self.tolerates_missing();
         let Some(record) = self.servers.get_mut(id) else {
             return EntryChange::Unchanged;
@@ -238,7 +318,7 @@
             record.lapsed = true;
             return EntryChange::Lapsed;
         }
-        self.remove(id);
+        self.remove(id, now);
         EntryChange::Removed
     }
 
@@ -252,12 +332,16 @@
     }
 
     /// Removes a server and keeps its state in `departed`. Returns whether the server was known.
-    fn remove(&mut self, id: &str) -> bool {
+    fn remove(&mut self, id: &str, now: Instant) -> bool {
         let Some(record) = self.servers.shift_remove(id) else {
             return false;
         };
         record.backend.pool.close_idle();
-        self.departed.insert(id.into(), record.backend);
+        let departed = Departed {
+            backend: record.backend,
+            removed_at: now,
+        };
+        self.departed.insert(id.into(), departed);
         if self.departed.len() > DEPARTED_MAX {
             self.departed.shift_remove_index(0);
         }
@@ -265,8 +349,9 @@
     }
 
     /// Handles an entry that cannot be decoded: removes the server of this name, if there is one.
-    pub fn on_unreadable(&mut self, id: &str) -> EntryChange {
-        if self.remove(id) {
+    pub fn on_unreadable(&mut self, id: &str, now: Instant) -> EntryChange {
+        self.drop_deferred(id);
+        if self.remove(id, now) {
             EntryChange::Removed
         } else {
             EntryChange::Unchanged
@@ -306,7 +391,7 @@
     /// Ends the grace period if the directory reflects the state of the platform at `as_of` and `as_of` is past the
     /// end of the period. Removes and returns the servers whose entries did not come back. A read from before the end
     /// of the period removes nothing.
-    pub fn remove_lapsed(&mut self, as_of: Instant) -> Vec<Arc<Backend>> {
+    pub fn remove_lapsed(&mut self, as_of: Instant, now: Instant) -> Vec<Arc<Backend>> {
         if self.is_platform_lost || self.grace_until.is_none_or(|until| as_of < until) {
             return Vec::new();
         }
@@ -314,7 +399,7 @@
         let lapsed = self.servers.iter().filter(|(_, record)| record.lapsed);
         let removed: Vec<Arc<Backend>> = lapsed.map(|(_, record)| Arc::clone(&record.backend)).collect();
         for backend in &removed {
-            self.remove(&backend.entry.id);
+            self.remove(&backend.entry.id, now);
         }
         removed
     }
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -128,7 +128,7 @@
     ) -> (Arc<Self>, prometheus_client::registry::Registry) {
         let (metrics, registry) = GatewayMetrics::new();
         let platform = PlatformState {
-            directory: Directory::new(settings.data_centre.clone()),
+            directory: Directory::new(settings.data_centre.clone(), settings.entry_ttl),
             values: IndexMap::new(),
             position: None,
             is_follower: false,
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -92,9 +92,12 @@
         };
         if let Some(as_of) = as_of.filter(|_| read.is_complete) {
             platform.complete_at = Some(as_of);
-            for removed in platform.directory.remove_lapsed(as_of) {
+            for removed in platform.directory.remove_lapsed(as_of, now) {
                 changed |= self.log_server_change(&removed.entry, EntryChange::Removed);
             }
+            for (entry, change) in platform.directory.apply_deferred(as_of, now) {
+                changed |= self.log_server_change(&entry, change);
+            }
         }
         if changed {
             self.put_in_effect(&platform);
@@ -149,7 +152,7 @@
             platform.has_full_read = true;
             platform.values.clear();
             for id in discovery::missing_servers(platform.directory.ids(), &items) {
-                changed |= self.on_missing(platform, &id);
+                changed |= self.on_missing(platform, &id, now);
             }
         }
         platform.history.on_read(&changes, position, scope);
@@ -165,7 +168,7 @@
         }
         platform.position = platform.position.max(Some(position));
         for item in items {
-            changed |= self.on_item(platform, item, now);
+            changed |= self.on_item(platform, item, scope, now);
         }
         changed
     }
@@ -245,7 +248,7 @@
         platform.directory.grace_until()
     }
 
-    fn on_item(&self, platform: &mut PlatformState, item: Item, now: Instant) -> bool {
+    fn on_item(&self, platform: &mut PlatformState, item: Item, scope: ReadScope, now: Instant) -> bool {
         match item {
             Item::Routing(routing) => {
                 let current = platform.routing.as_ref().map(|current| current.revision);
@@ -259,26 +262,28 @@
                 true
             }
             Item::Server(entry) => {
-                let change = platform.directory.on_entry(entry.clone(), now);
+                let change = match scope {
+                    ReadScope::Full => platform.directory.on_listed(entry.clone(), now),
+                    ReadScope::Incremental => platform.directory.on_entry(entry.clone(), now),
+                };
                 self.log_server_change(&entry, change)
             }
-            Item::ServerMissing(id) => self.on_missing(platform, &id),
+            Item::ServerMissing(id) => self.on_missing(platform, &id, now),
             Item::Unreadable { key, server, reason } => {
                 warn!(self.log, "platform_value_unreadable"; "key" => &*key, "reason" => &*reason);
-                let backend = server.and_then(|id| platform.directory.backend(&id));
-                backend.is_some_and(|backend| {
-                    let change = platform.directory.on_unreadable(&backend.entry.id);
-                    self.log_server_change(&backend.entry, change)
+                server.is_some_and(|id| {
+                    let backend = platform.directory.backend(&id);
+                    let change = platform.directory.on_unreadable(&id, now);
+                    backend.is_some_and(|backend| self.log_server_change(&backend.entry, change))
                 })
             }
         }
     }
 
-    fn on_missing(&self, platform: &mut PlatformState, id: &str) -> bool {
-        platform.directory.backend(id).is_some_and(|backend| {
-            let change = platform.directory.on_missing(id);
-            self.log_server_change(&backend.entry, change)
-        })
+    fn on_missing(&self, platform: &mut PlatformState, id: &str, now: Instant) -> bool {
+        let backend = platform.directory.backend(id);
+        let change = platform.directory.on_missing(id, now);
+        backend.is_some_and(|backend| self.log_server_change(&backend.entry, change))
     }
 
     /// Records the first notice of a server that it is leaving.
@@ -309,10 +314,11 @@
             EntryChange::Leaving => "server_leaving",
             EntryChange::Lapsed => "server_lapsed",
             EntryChange::Removed => "server_gone",
+            EntryChange::Deferred => "server_deferred",
         };
         info!(self.log, "server_changed"; "server" => &*server.id, "change" => event, "service" => &*server.service,
             "data_centre" => &*server.data_centre);
-        change != EntryChange::Lapsed
+        !matches!(change, EntryChange::Lapsed | EntryChange::Deferred)
     }
 
     /// Logs the services that lost their last available server, and those that have one again.
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub extra: ExtraLimits,
     /// Time limits that the platform sets for reads.
     pub freshness: Freshness,
+    /// Time without a heartbeat of a backend server after which the platform removes its entry.
+    pub entry_ttl: Duration,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
 }
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Time without a heartbeat after which the platform removes an entry.
+const ENTRY_TTL: Duration = Duration::from_millis(3600);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -66,7 +69,7 @@
 
 /// Returns a view of one server in the local data centre and two in others.
 fn three_servers(now: Instant) -> View {
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     for (id, data_centre) in [("near", "here"), ("far-1", "there"), ("far-2", "elsewhere")] {
         directory.on_entry(entry(id, data_centre), now);
     }
@@ -89,7 +92,7 @@
 #[test]
 fn leaving_and_removed_servers_get_no_requests() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     assert_eq!(directory.on_entry(entry("a", "here"), now), EntryChange::Joined);
     assert_eq!(directory.on_entry(entry("b", "here"), now), EntryChange::Joined);
     let leaving = BackendEntry {
@@ -98,7 +101,7 @@
     };
     assert_eq!(directory.on_entry(leaving, now), EntryChange::Leaving);
     assert_eq!(ids(&directory), ["b"]);
-    assert_eq!(directory.on_missing("b"), EntryChange::Removed);
+    assert_eq!(directory.on_missing("b", now), EntryChange::Removed);
     assert!(ids(&directory).is_empty());
 }
 
@@ -107,28 +110,28 @@
 #[test]
 fn lapsed_entries_have_a_grace_period_after_an_outage() {
     let mut now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     for id in ["a", "b"] {
         directory.on_entry(entry(id, "here"), now);
     }
     directory.on_platform_lost();
     now += Duration::from_secs(5);
     directory.on_platform_read(now);
-    assert_eq!(directory.on_missing("a"), EntryChange::Lapsed);
-    assert_eq!(directory.on_missing("b"), EntryChange::Lapsed);
+    assert_eq!(directory.on_missing("a", now), EntryChange::Lapsed);
+    assert_eq!(directory.on_missing("b", now), EntryChange::Lapsed);
     assert_eq!(ids(&directory), ["a", "b"]);
     now += LAPSE_GRACE / 2;
     assert_eq!(directory.on_entry(entry("a", "here"), now), EntryChange::Unchanged);
-    assert!(directory.remove_lapsed(now).is_empty());
+    assert!(directory.remove_lapsed(now, now).is_empty());
     now += LAPSE_GRACE / 2;
     let removed: Vec<SearcherId> = directory
-        .remove_lapsed(now)
+        .remove_lapsed(now, now)
         .iter()
         .map(|removed| removed.entry.id.clone())
         .collect();
     assert_eq!(removed, [Box::from("b")]);
     assert_eq!(ids(&directory), ["a"]);
-    assert_eq!(directory.on_missing("a"), EntryChange::Removed);
+    assert_eq!(directory.on_missing("a", now), EntryChange::Removed);
 }
 
 /// Guards against the removal of servers because of a read from before the end of the grace period. With many changes
@@ -136,24 +139,148 @@
 #[test]
 fn lapsed_entries_are_not_removed_by_an_outdated_read() {
     let start = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     directory.on_entry(entry("a", "here"), start);
     directory.on_platform_lost();
     let back = start + Duration::from_secs(5);
     directory.on_platform_read(back);
-    assert_eq!(directory.on_missing("a"), EntryChange::Lapsed);
+    assert_eq!(directory.on_missing("a", back), EntryChange::Lapsed);
     let until = directory.grace_until().unwrap();
-    assert!(directory.remove_lapsed(until - ms(1)).is_empty());
+    assert!(directory.remove_lapsed(until - ms(1), until).is_empty());
     // The entry vanished again in a read from before the end of the grace period, so it still counts as lapsed.
-    assert_eq!(directory.on_missing("a"), EntryChange::Lapsed);
+    assert_eq!(directory.on_missing("a", until), EntryChange::Lapsed);
     assert_eq!(
         directory.on_entry(entry("a", "here"), until + ms(900)),
         EntryChange::Unchanged
     );
-    assert!(directory.remove_lapsed(until + ms(900)).is_empty());
+    assert!(directory.remove_lapsed(until + ms(900), until + ms(900)).is_empty());
     assert_eq!(ids(&directory), ["a"]);
 }
 
+/// Returns a directory that knew server `a` in a later state than its entry, at the time when the platform returned from
+/// a copy that has the entry.
+fn restored(known: impl FnOnce(&mut Directory, Instant), now: Instant) -> Directory {
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
+    directory.on_entry(entry("a", "here"), now);
+    known(&mut directory, now);
+    assert!(ids(&directory).is_empty());
+    directory.on_restored(now);
+    directory
+}
+
+fn leaving() -> BackendEntry {
+    BackendEntry {
+        leaving: true,
+        ..entry("a", "here")
+    }
+}
+
+/// Guards against a server that is used again because of an entry from before it was removed or reported its departure,
+/// and against one that is never used again although its entry stays listed beyond the platform's time to live.
+#[test]
+fn listed_entries_of_departed_servers_are_deferred_after_a_restore() {
+    type Known = fn(&mut Directory, Instant);
+    let removed: Known = |directory, now| {
+        directory.on_missing("a", now);
+    };
+    let left: Known = |directory, now| {
+        directory.on_entry(leaving(), now);
+    };
+    let restarted_and_removed: Known = |directory, now| {
+        let restarted = BackendEntry {
+            started_ms: 2,
+            ..entry("a", "here")
+        };
+        directory.on_entry(restarted, now);
+        directory.on_missing("a", now);
+    };
+    let now = Instant::now();
+    let until = now + LAPSE_GRACE + ENTRY_TTL;
+    for known in [removed, left, restarted_and_removed] {
+        let mut directory = restored(known, now);
+        assert_eq!(directory.on_listed(entry("a", "here"), now), EntryChange::Deferred);
+        assert!(directory.apply_deferred(until - ms(1), until).is_empty());
+        // A second listing in the period, for example after the platform dropped its history.
+        assert_eq!(directory.on_listed(entry("a", "here"), now), EntryChange::Deferred);
+        assert!(ids(&directory).is_empty());
+        assert_eq!(directory.apply_deferred(until, until).len(), 1);
+        assert_eq!(ids(&directory), ["a"]);
+    }
+}
+
+/// Guards against a deferred entry that is applied although the server has written another one since, or was removed.
+#[test]
+fn a_later_change_replaces_a_deferred_entry() {
+    let now = Instant::now();
+    let until = now + LAPSE_GRACE + ENTRY_TTL;
+    let removed = |directory: &mut Directory, now| {
+        directory.on_missing("a", now);
+    };
+    for is_removed in [true, false] {
+        let mut directory = restored(removed, now);
+        directory.on_listed(entry("a", "here"), now);
+        if is_removed {
+            directory.on_missing("a", now);
+        } else {
+            directory.on_entry(leaving(), now);
+        }
+        assert!(directory.apply_deferred(until, until).is_empty());
+        assert!(ids(&directory).is_empty());
+    }
+    // The server itself registers again.
+    let mut directory = restored(removed, now);
+    directory.on_listed(entry("a", "here"), now);
+    assert_eq!(directory.on_entry(entry("a", "here"), now), EntryChange::Joined);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+/// Guards against deferred entries of one copy that are applied after the platform returned from another copy without
+/// them, and against their use during an outage that outlasts the period.
+#[test]
+fn a_second_restore_begins_a_new_period() {
+    let now = Instant::now();
+    let removed = |directory: &mut Directory, now| {
+        directory.on_missing("a", now);
+    };
+    let mut directory = restored(removed, now);
+    directory.on_listed(entry("a", "here"), now);
+    let second = now + LAPSE_GRACE;
+    directory.on_restored(second);
+    let until = second + LAPSE_GRACE + ENTRY_TTL;
+    assert!(directory.apply_deferred(until, until).is_empty());
+    let mut directory = restored(removed, now);
+    directory.on_listed(entry("a", "here"), now);
+    directory.on_platform_lost();
+    assert!(directory.apply_deferred(until, until).is_empty());
+    assert_eq!(directory.on_listed(entry("a", "here"), until), EntryChange::Deferred);
+}
+
+/// Guards against an earlier incarnation that replaces a restarted server, and against an entry that was removed after the
+/// restore and whose server registered again, which nothing contradicts.
+#[test]
+fn only_entries_from_before_the_restore_are_deferred() {
+    let now = Instant::now();
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
+    let restarted = BackendEntry {
+        started_ms: 2,
+        address: ([10, 0, 0, 2], 80).into(),
+        ..entry("a", "here")
+    };
+    directory.on_entry(restarted, now);
+    directory.on_entry(entry("b", "here"), now);
+    directory.on_restored(now);
+    assert_eq!(directory.on_listed(entry("a", "here"), now), EntryChange::Deferred);
+    assert_eq!(directory.on_missing("b", now), EntryChange::Lapsed);
+    assert_eq!(ids(&directory), ["a", "b"]);
+    let end = now + LAPSE_GRACE;
+    assert_eq!(directory.remove_lapsed(end, end).len(), 2);
+    assert_eq!(
+        directory.on_listed(entry("b", "here"), end + ms(1)),
+        EntryChange::Joined
+    );
+    assert_eq!(ids(&directory), ["b"]);
+}
+
 /// Guards against reads that wait or pause beyond the end of the grace period, and against a pause after an answer
 /// that held only part of the changes.
 #[test]
@@ -181,7 +308,7 @@
 #[test]
 fn a_restart_under_the_same_name_is_a_new_server() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     directory.on_entry(entry("a", "here"), now);
     let before = directory.view(None, ONE_INSTANCE).servers("shard")[0].clone();
     before.state().on_failure(now);
@@ -198,11 +325,11 @@
 #[test]
 fn an_unreadable_value_removes_only_its_server() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     directory.on_entry(entry("a", "here"), now);
     directory.on_entry(entry("b", "here"), now);
-    assert_eq!(directory.on_unreadable("foreign"), EntryChange::Unchanged);
-    assert_eq!(directory.on_unreadable("a"), EntryChange::Removed);
+    assert_eq!(directory.on_unreadable("foreign", now), EntryChange::Unchanged);
+    assert_eq!(directory.on_unreadable("a", now), EntryChange::Removed);
     assert_eq!(ids(&directory), ["b"]);
 }
 
@@ -368,7 +495,7 @@
 #[test]
 fn local_instances_have_a_larger_share_of_a_server() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
     directory.on_entry(entry("near", "here"), now);
     directory.on_entry(entry("far", "there"), now);
     let instances = InstanceCount { all: 33, local: 8 };
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -157,7 +157,7 @@
         local: load.instances.div_ceil(load.data_centres) as u32,
     };
     let view_of = |instance: usize| {
-        let mut directory = Directory::new(data_centre(instance, load));
+        let mut directory = Directory::new(data_centre(instance, load), Duration::ZERO);
         for shard in 0..load.shards {
             for server in 0..SERVERS_PER_SHARD {
                 directory.on_entry(entry(shard, server, load), start);
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -64,14 +64,14 @@
 #[test]
 fn leaving_and_retry_after_last_as_long_as_the_incarnation() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), Duration::ZERO);
     directory.on_entry(entry(1), now);
     let backend = directory.backend("a").unwrap();
     assert!(backend.state().on_leaving());
     assert!(!backend.state().on_leaving(), "leaving announced twice");
     backend.state().on_retry_after(Duration::from_secs(9), now);
     assert!(directory.view(None, ONE_INSTANCE).servers("shard").is_empty());
-    directory.on_missing("a");
+    directory.on_missing("a", now);
     directory.on_entry(entry(1), now);
     let returned = directory.backend("a").unwrap();
     assert!(returned.state().is_leaving() && returned.state().is_backing_off(now));
@@ -85,7 +85,7 @@
 #[test]
 fn the_longest_retry_after_counts() {
     let now = Instant::now();
-    let mut directory = Directory::new("here".into());
+    let mut directory = Directory::new("here".into(), Duration::ZERO);
     directory.on_entry(entry(1), now);
     let backend = directory.backend("a").unwrap();
     backend.state().on_retry_after(Duration::from_secs(4), now);
