gateway: relay what is in effect instead of what was read

A new instance without access to the store answered 404 on a route that the other instances served, and sent requests to a server that they did not use.

Cause: instances relayed the values as they had read them. After the store returned from a copy these are the older configuration, which the sender ignores because it knows a later one, and entries that it defers because it knows their servers better. The receiver has neither. The configuration in effect is now kept with its bytes and relayed, and deferred entries are left out.

Ruled out: relaying both and letting the receiver decide; it lacks what contradicts the entries.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -267,6 +267,13 @@
             .collect()
     }
 
+    /// Returns whether the listed entry of a server is deferred.
+    #[must_use]
+    pub fn is_deferred(&self, id: &str) -> bool {
+        let restoration = self.restoration.as_ref();
+        restoration.is_some_and(|restoration| restoration.is_deferred(id))
+    }
+
     /// Drops the deferred entry of a server, because a later change replaces it.
     fn drop_deferred(&mut self, id: &str) {
         if let Some(restoration) = &mut self.restoration {
--- a/src/process/backends/restoration.rs
+++ b/src/process/backends/restoration.rs
@@ -46,6 +46,11 @@
         self.deferred.insert(entry.id.clone(), entry);
     }
 
+    /// Returns whether the entry of a server is deferred.
+    pub(super) fn is_deferred(&self, id: &str) -> bool {
+        self.deferred.contains_key(id)
+    }
+
     /// Drops the deferred entry of a server.
     pub(super) fn drop_deferred(&mut self, id: &str) {
         self.deferred.swap_remove(id);
--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -402,9 +402,11 @@
 
 /// Returns the servers in `known` that are missing in `items`, the result of a full read.
 #[must_use]
-pub fn missing_servers<'a>(known: impl Iterator<Item = &'a SearcherId>, items: &[Item]) -> Vec<SearcherId> {
+pub fn missing_servers<'a>(
+    known: impl Iterator<Item = &'a SearcherId>,
+    items: impl Iterator<Item = &'a Item>,
+) -> Vec<SearcherId> {
     let listed: IndexSet<&SearcherId> = items
-        .iter()
         .filter_map(|item| match item {
             Item::Server(entry) => Some(&entry.id),
             _ => None,
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -129,7 +129,8 @@
         let (metrics, registry) = GatewayMetrics::new();
         let platform = PlatformState {
             directory: Directory::new(settings.data_centre.clone(), settings.entry_ttl),
-            values: IndexMap::new(),
+            entries: IndexMap::new(),
+            configuration: None,
             position: None,
             is_follower: false,
             history: History::default(),
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -12,6 +12,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::ids::SearcherId;
 use crate::process::backends::Backend;
 use crate::process::backends::BackendEntry;
 use crate::process::backends::Directory;
@@ -36,12 +37,22 @@
 /// pause and a response of a slow platform.
 const MAX_STATE_AGE: Duration = Duration::from_secs(4);
 
+/// Entry of a server as it was read.
+#[derive(Debug)]
+pub(super) struct StoredEntry {
+    server: SearcherId,
+    value: Bytes,
+}
+
 /// State received from the platform.
 #[derive(Debug)]
 pub(super) struct PlatformState {
     pub(super) directory: Directory,
-    /// Values as they were read, for instances that cannot read the platform.
-    pub(super) values: IndexMap<Box<str>, Bytes>,
+    /// Entries of servers by their key, as they were read, for instances that cannot read the platform.
+    pub(super) entries: IndexMap<Box<str>, StoredEntry>,
+    /// Key and value of the configuration in effect, for the same instances. The platform may hold an older one after it
+    /// returned from a copy.
+    pub(super) configuration: Option<(Box<str>, Bytes)>,
     pub(super) position: Option<Position>,
     /// Whether the last read was served by another instance.
     pub(super) is_follower: bool,
@@ -58,6 +69,43 @@
     pub(super) is_stopping: bool,
 }
 
+impl PlatformState {
+    /// Stores or removes the entry of a server.
+    fn store_entry(&mut self, change: &Change, item: &Item) {
+        let server = match item {
+            Item::Server(entry) => Some(&entry.id),
+            Item::Unreadable { server, .. } => server.as_ref(),
+            Item::ServerMissing(_) | Item::Routing(_) => None,
+        };
+        match (server, &change.value) {
+            (Some(server), Some(value)) => {
+                let entry = StoredEntry {
+                    server: server.clone(),
+                    value: value.clone(),
+                };
+                self.entries.insert(change.key.clone(), entry);
+            }
+            _ => {
+                self.entries.swap_remove(&change.key);
+            }
+        }
+    }
+
+    /// Returns the values that an instance without access to the platform should use. Entries that have no effect here are
+    /// left out, because another instance may lack the knowledge that contradicts them.
+    pub(super) fn relayed_values(&self) -> Vec<proto::StoredValue> {
+        let entries = self.entries.iter();
+        let in_effect = entries.filter(|(_, entry)| !self.directory.is_deferred(&entry.server));
+        let entries = in_effect.map(|(key, entry)| (key, &entry.value));
+        let configuration = self.configuration.iter().map(|(key, value)| (key, value));
+        let values = configuration.chain(entries).map(|(key, value)| proto::StoredValue {
+            key: key.to_string(),
+            value: value.clone(),
+        });
+        values.collect()
+    }
+}
+
 impl Gateway {
     /// Applies the result of a read of the platform that began at `started`. A result that is older than the state
     /// another instance sent in the meantime is dropped: it would undo changes that are not read again.
@@ -142,7 +190,12 @@
         scope: ReadScope,
         now: Instant,
     ) -> bool {
-        let items: Vec<Item> = changes.iter().filter_map(self.decoder).collect();
+        platform.history.on_read(&changes, position, scope);
+        let decoded = changes.into_iter().filter_map(|change| {
+            let item = (self.decoder)(&change)?;
+            Some((change, item))
+        });
+        let decoded: Vec<(Change, Item)> = decoded.collect();
         let mut changed = false;
         if scope == ReadScope::Full {
             if platform.position.is_some_and(|before| before.era != position.era) {
@@ -150,25 +203,16 @@
             }
             changed = !platform.has_full_read;
             platform.has_full_read = true;
-            platform.values.clear();
-            for id in discovery::missing_servers(platform.directory.ids(), &items) {
+            platform.entries.clear();
+            let items = decoded.iter().map(|(_, item)| item);
+            for id in discovery::missing_servers(platform.directory.ids(), items) {
                 changed |= self.on_missing(platform, &id, now);
             }
         }
-        platform.history.on_read(&changes, position, scope);
-        for change in changes {
-            match change.value {
-                Some(value) => {
-                    platform.values.insert(change.key, value);
-                }
-                None => {
-                    platform.values.swap_remove(&change.key);
-                }
-            }
-        }
         platform.position = platform.position.max(Some(position));
-        for item in items {
-            changed |= self.on_item(platform, item, scope, now);
+        for (change, item) in decoded {
+            platform.store_entry(&change, &item);
+            changed |= self.on_item(platform, change, item, scope, now);
         }
         changed
     }
@@ -248,19 +292,16 @@
         platform.directory.grace_until()
     }
 
-    fn on_item(&self, platform: &mut PlatformState, item: Item, scope: ReadScope, now: Instant) -> bool {
+    fn on_item(
+        &self,
+        platform: &mut PlatformState,
+        change: Change,
+        item: Item,
+        scope: ReadScope,
+        now: Instant,
+    ) -> bool {
         match item {
-            Item::Routing(routing) => {
-                let current = platform.routing.as_ref().map(|current| current.revision);
-                if !discovery::is_newer_revision(routing.revision, current) {
-                    return false;
-                }
-                info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
-                    "routes" => routing.len(), "services" => routing.services.len());
-                self.remove_unused(&routing);
-                platform.routing = Some(Arc::from(routing));
-                true
-            }
+            Item::Routing(routing) => self.on_routing(platform, routing, change),
             Item::Server(entry) => {
                 let change = match scope {
                     ReadScope::Full => platform.directory.on_listed(entry.clone(), now),
@@ -280,6 +321,20 @@
         }
     }
 
+    /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does.
+    fn on_routing(&self, platform: &mut PlatformState, routing: Box<Routing>, change: Change) -> bool {
+        let current = platform.routing.as_ref().map(|current| current.revision);
+        if !discovery::is_newer_revision(routing.revision, current) {
+            return false;
+        }
+        info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
+            "routes" => routing.len(), "services" => routing.services.len());
+        self.remove_unused(&routing);
+        platform.routing = Some(Arc::from(routing));
+        platform.configuration = change.value.map(|value| (change.key, value));
+        true
+    }
+
     fn on_missing(&self, platform: &mut PlatformState, id: &str, now: Instant) -> bool {
         let backend = platform.directory.backend(id);
         let change = platform.directory.on_missing(id, now);
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -58,16 +58,16 @@
         let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
         let position = platform.position.unwrap_or_default();
         let sends_values = requester.is_some_and(|requester| requester.cut && roster_position(requester) < position);
-        let values = platform.values.iter().map(|(key, value)| proto::StoredValue {
-            key: key.to_string(),
-            value: value.clone(),
-        });
         proto::Roster {
             members,
             era: position.era,
             position: position.revision,
             cut: platform.directory.is_platform_lost() || platform.position.is_none(),
-            values: if sends_values { values.collect() } else { Vec::new() },
+            values: if sends_values {
+                platform.relayed_values()
+            } else {
+                Vec::new()
+            },
             limits: rate_limits::recent_notices(&platform.directory, now),
         }
     }
