backends: drop deferred entries that a later listing does not have

A second listing within the restoration, after the platform dropped its history or by relay, did not replace the entries deferred from the first one, so a server whose removal had been written again would have come back when the period ended.

--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -217,6 +217,13 @@
         self.restoration = Some(Restoration::new(now, LAPSE_GRACE + self.entry_ttl));
     }
 
+    /// Records that a listing of all entries begins. It replaces the entries deferred from an earlier one.
+    pub fn on_listing(&mut self) {
+        if let Some(restoration) = &mut self.restoration {
+            restoration.clear_deferred();
+        }
+    }
+
     /// Adds a server or updates its entry from a listing of all entries. Unlike a change, a listed entry may have been
     /// written before the platform returned from a copy, so it is deferred if it would undo a later state of its server.
     pub fn on_listed(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
--- a/src/process/backends/restoration.rs
+++ b/src/process/backends/restoration.rs
@@ -46,6 +46,11 @@
         self.deferred.insert(entry.id.clone(), entry);
     }
 
+    /// Drops all deferred entries.
+    pub(super) fn clear_deferred(&mut self) {
+        self.deferred.clear();
+    }
+
     /// Returns whether the entry of a server is deferred.
     pub(super) fn is_deferred(&self, id: &str) -> bool {
         self.deferred.contains_key(id)
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -201,6 +201,7 @@
             if platform.position.is_some_and(|before| before.era != position.era) {
                 platform.directory.on_restored(now);
             }
+            platform.directory.on_listing();
             changed = !platform.has_full_read;
             platform.has_full_read = true;
             platform.entries.clear();
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -234,6 +234,23 @@
     assert_eq!(ids(&directory), ["a"]);
 }
 
+/// Guards against a deferred entry that is applied although a later listing no longer has it, because its removal was
+/// written again and the platform dropped that change, or another instance relayed the state after it.
+#[test]
+fn a_later_listing_replaces_the_deferred_entries() {
+    let now = Instant::now();
+    let until = now + LAPSE_GRACE + ENTRY_TTL;
+    let removed = |directory: &mut Directory, now| {
+        directory.on_missing("a", now);
+    };
+    let mut directory = restored(removed, now);
+    directory.on_listing();
+    directory.on_listed(entry("a", "here"), now);
+    directory.on_listing();
+    assert!(directory.apply_deferred(until, until).is_empty());
+    assert!(ids(&directory).is_empty());
+}
+
 /// Guards against deferred entries of one copy that are applied after the platform returned from another copy without
 /// them, and against their use during an outage that outlasts the period.
 #[test]
