gateway: let a full read of the platform override a relayed state

An instance that could read the platform used nothing of it while another one kept sending it a state at a position that the platform had not reached: after the full read it forgot its position, and an instance without a position accepted relayed states.

A full read that began after the last relay now replaces the state whatever its position is, and a read for changes at an unknown position asks for a full one without giving up the position. So relayed states are accepted only before the first read and during an outage.

Ruled out: comparing positions alone. A faulty peer can name any era.

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -363,7 +363,6 @@
                     info!(gateway.log, "platform_regained"; "failures" => failures);
                 }
                 failures = 0;
-                needs_full_read = false;
                 lag.on_read(&gateway, &read, started);
                 let (outcome, origin) = (read.outcome(), read.origin);
                 if scope == ReadScope::Incremental
@@ -372,7 +371,7 @@
                 {
                     gateway.on_platform_overdue(started.elapsed());
                 }
-                gateway.on_platform_read(read, scope, started);
+                needs_full_read = gateway.on_platform_read(read, scope, started) == ReadScope::Full;
                 // Reads from another instance are free, and that instance has paused already.
                 if origin == Origin::Platform {
                     let pause = freshness.pause(outcome, gateway.grace_until(), Instant::now());
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -107,9 +107,11 @@
 }
 
 impl Gateway {
-    /// Applies the result of a read of the platform that began at `started`. A result that is older than the state
-    /// another instance sent in the meantime is dropped: it would undo changes that are not read again.
-    pub fn on_platform_read(&self, read: Changes, scope: ReadScope, started: Instant) {
+    /// Applies the result of a read of the platform that began at `started`, and returns what the next read has to cover.
+    ///
+    /// A result that is older than the state another instance sent in the meantime is dropped: it would undo changes that
+    /// are not read again. Any other full read replaces that state, because it shows what the platform has.
+    pub fn on_platform_read(&self, read: Changes, scope: ReadScope, started: Instant) -> ReadScope {
         let now = Instant::now();
         if read.origin == Origin::Platform {
             self.isolation().on_platform_read_ended();
@@ -125,12 +127,13 @@
         }
         if platform.position.is_some_and(|current| read.position < current) {
             info!(self.log, "platform_read_outdated"; "position" => read.position, "known" => platform.position);
-            if platform.relayed_at.is_none_or(|at| at < started) {
-                // The platform does not know the position received from the other instance, so everything is read
-                // again.
-                platform.position = None;
+            if platform.relayed_at.is_some_and(|at| at >= started) {
+                return ReadScope::Incremental;
+            }
+            if scope == ReadScope::Incremental {
+                // The platform does not know the position.
+                return ReadScope::Full;
             }
-            return;
         }
         platform.is_follower = read.origin != Origin::Platform;
         let mut changed = self.apply(&mut platform, read.changes, read.position, scope, now);
@@ -152,6 +155,7 @@
         }
         drop(platform);
         self.read_ended.send_replace(());
+        ReadScope::Incremental
     }
 
     /// Logs a change of the platform's era by a read up to `position`.
@@ -210,7 +214,7 @@
                 changed |= self.on_missing(platform, &id, now);
             }
         }
-        platform.position = platform.position.max(Some(position));
+        platform.position = Some(position);
         for (change, item) in decoded {
             platform.store_entry(&change, &item);
             changed |= self.on_item(platform, change, item, scope, now);
