dissemination: wait from the version of the last read

Entry and leaf programs kept the greatest version of the root that they had read and waited for a greater one. Where the platform's versions go back, the wait cannot end before they have passed it, so each change took effect only with the next read without a version, 22 to 38 s later. The last version read is now the one to wait from, also when it is lower. Documents are compared by their own revision as before.

The test fails without the change.

--- a/src/process/dissemination/platform.rs
+++ b/src/process/dissemination/platform.rs
@@ -61,7 +61,7 @@
     next_read: Instant,
     /// Deadline of the read of the root that is in progress.
     read_deadline: Option<Instant>,
-    /// Greatest version of the root received.
+    /// Version of the root in the last response. It is lower than the one before if the platform was restored.
     version: Option<u64>,
     /// Time of the next read without a version.
     full_read: Instant,
@@ -159,7 +159,7 @@
             PlatformResponse::Unchanged => self.note_contact(now),
             PlatformResponse::Value { version, body } => {
                 self.note_contact(now);
-                self.platform.version = self.platform.version.max(Some(version));
+                self.platform.version = Some(version);
                 self.handle_platform_root(body, actions);
             }
         }
--- a/tests/testsuite/dissemination.rs
+++ b/tests/testsuite/dissemination.rs
@@ -81,6 +81,10 @@
     queue: VecDeque<(usize, usize, Body)>,
     in_effect: Vec<Option<DocumentKey>>,
     root: Option<Bytes>,
+    /// Version of the root on the platform.
+    root_version: u64,
+    /// Versions after which reads of the root waited.
+    waits_after: Vec<u64>,
     /// One bit for each process: whether it reaches the platform.
     reaches_platform: u8,
     serving: Vec<bool>,
@@ -98,6 +102,8 @@
             queue: VecDeque::new(),
             in_effect: vec![None; count],
             root: None,
+            root_version: 1,
+            waits_after: Vec::new(),
             reaches_platform: u8::MAX,
             serving: vec![false; count],
         }
@@ -155,10 +161,14 @@
                     let to = to[1..].parse().expect("process names end with a number");
                     self.queue.push_back((node, to, body));
                 }
-                Action::ReadRoot { .. } => {
+                Action::ReadRoot { after, .. } => {
+                    self.waits_after.extend(after);
                     let root = self.root.clone().filter(|_| self.reaches_platform >> node & 1 == 1);
                     let response = match root {
-                        Some(body) => PlatformResponse::Value { version: 1, body },
+                        Some(body) => PlatformResponse::Value {
+                            version: self.root_version,
+                            body,
+                        },
                         None => PlatformResponse::Failed { retry_after: None },
                     };
                     machine.on_platform_root(response, now, &mut next);
@@ -426,3 +436,21 @@
     }
     assert!(cluster.in_effect.iter().flatten().all(|key| key.revision == 9));
 }
+
+/// Guards against a reader that waits for changes after a version that a restored platform has not reached again, so that
+/// each change takes effect only with the next read without a version.
+#[test]
+fn a_reader_waits_from_the_version_of_a_restored_platform() {
+    let mut cluster = Cluster::new(2);
+    cluster.root = Some(make_root(7, 0));
+    cluster.root_version = 50;
+    cluster.run_connected(50);
+    assert_eq!(cluster.waits_after.last(), Some(&50));
+    cluster.root_version = 20;
+    // Longer than the interval of reads without a version.
+    cluster.run_connected(600);
+    cluster.waits_after.clear();
+    cluster.run_connected(50);
+    assert!(!cluster.waits_after.is_empty());
+    assert!(cluster.waits_after.iter().all(|after| *after == 20));
+}
