gateway: recognise a restored platform by its lower revision as well

A platform that does not state its era shows that it returned from a copy only when the revision of a full read is below the known position. Such a read was applied like any other: in the new test a server removed after the copy got 34 requests. It now begins the same period as a change of the era.

The stand-in store can leave the era out. Without it, an instance cannot notice a restore after which the revision has been passed already.

--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -202,7 +202,11 @@
         let decoded: Vec<(Change, Item)> = decoded.collect();
         let mut changed = false;
         if scope == ReadScope::Full {
-            if platform.position.is_some_and(|before| before.era != position.era) {
+            // A platform that does not state its era shows by a lower revision that it was restored.
+            if platform
+                .position
+                .is_some_and(|before| position.era != before.era || position < before)
+            {
                 platform.directory.on_restored(now);
             }
             platform.directory.on_listing();
