gateway: apply another configuration with the revision of a lost one

After the store had lost a configuration, the operator may give its revision out again for another content. Instances that knew the lost one kept it, while instances started later used the other one.

The bytes of the configuration in effect are known since relays need them, so a configuration with the same revision and other bytes now replaces it. One with a lower revision is ignored as before.

The test fails without the change (not in effect after 4 s, in a listing).

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -414,8 +414,9 @@
     known.filter(|id| !listed.contains(id)).cloned().collect()
 }
 
-/// Returns whether a configuration with revision `next` replaces the one in effect, which has revision `current`.
+/// Returns whether a configuration with revision `next` and another content replaces the one in effect, which has revision
+/// `current`.
 #[must_use]
-pub fn is_newer_revision(next: Revision, current: Option<Revision>) -> bool {
-    current.is_none_or(|current| next > current)
+pub fn replaces_revision(next: Revision, current: Option<Revision>) -> bool {
+    current.is_none_or(|current| next >= current)
 }
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -330,10 +330,13 @@
         }
     }
 
-    /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does.
+    /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does. After the
+    /// platform lost a configuration, its revision may be given out again for another one.
     fn on_routing(&self, platform: &mut PlatformState, routing: Box<Routing>, change: Change) -> bool {
         let current = platform.routing.as_ref().map(|current| current.revision);
-        if !discovery::is_newer_revision(routing.revision, current) {
+        let value = platform.configuration.as_ref().map(|(_, value)| value);
+        let is_known = value.is_some() && value == change.value.as_ref();
+        if is_known || !discovery::replaces_revision(routing.revision, current) {
             return false;
         }
         info!(self.log, "configuration_in_effect"; "revision" => routing.revision, "before" => current,
