gateway-soak: return the store from copies of its content

Each run copies the store now and then, restores the copy and writes the lost values again within 1.5 s, also several times in a row and beside all other faults. Before the calm, a configuration is published, lost and written again, so that later writes pass the revisions that the processes have read.

--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod notices;
 mod proxy;
+mod restores;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
 use crate::fleet::READY_TIMEOUT;
 use crate::limits::LimitInjector;
 use crate::notices::NoticeInjector;
+use crate::restores::RestoreInjector;
 
 mod flags {
     use std::path::PathBuf;
@@ -112,14 +114,18 @@
     let callers = Callers::start(&fleet, &mut rng);
     let end = tokio::time::Instant::now() + settings.fault_duration;
     let mut fault_injector = FaultInjector::new(SmallRng::from_rng(&mut rng));
-    // With separate generators, notices and limits do not change the other faults of a seed.
+    // With separate generators, notices, limits and restores do not change the other faults of a seed.
     let mut notice_injector = NoticeInjector::new(SmallRng::seed_from_u64(!settings.seed));
     let mut limit_injector = LimitInjector::new(SmallRng::seed_from_u64(settings.seed.rotate_left(32)));
+    let restore_rng = SmallRng::seed_from_u64(!settings.seed.rotate_left(32));
+    let mut restore_injector = RestoreInjector::new(&fleet, restore_rng);
     while tokio::time::Instant::now() < end {
         fault_injector.inject_next(&mut fleet).await?;
         notice_injector.inject_next(&fleet);
         limit_injector.inject_next(&mut fleet);
+        restore_injector.inject_next(&fleet);
     }
+    restore_injector.finish(&mut fleet).await;
     FaultInjector::clear_all(&mut fleet).await?;
     fleet.wait_ready(READY_TIMEOUT).await?;
     let mut exchanges = callers.stop().await;
