gateway: give the configuration in effect to starting instances

An instance that started after the store had returned from a copy, and before the operator had written the configuration again, used the older one of the copy and answered 404 on routes that all other instances served.

An instance that started less than 5 s ago names its revision in its rosters; a receiver with a later configuration sends that. Only these exchanges carry it, so a change of a large configuration is not sent around by gossip. Relayed states were no help here: they are for instances without access to the store.

Instances of earlier builds ignore the fields.

--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -111,6 +111,7 @@
     isolation_suspected: Notify,
     /// Interrupts a waiting read of the platform, so that a new read shows at once whether the platform is reachable.
     pub(crate) read_request: Notify,
+    started_at: Instant,
     /// Time of the last successful read of the platform.
     read_at: Mutex<Option<Instant>>,
     /// Notifies the instances that follow this one when a read of the platform ends.
@@ -167,6 +168,7 @@
             isolation: Mutex::default(),
             isolation_suspected: Notify::new(),
             read_request: Notify::new(),
+            started_at: Instant::now(),
             read_at: Mutex::new(None),
             read_ended: watch::Sender::new(()),
         };
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -69,6 +69,13 @@
     pub(super) is_stopping: bool,
 }
 
+fn stored_value(key: &str, value: &Bytes) -> proto::StoredValue {
+    proto::StoredValue {
+        key: key.into(),
+        value: value.clone(),
+    }
+}
+
 impl PlatformState {
     /// Stores or removes the entry of a server.
     fn store_entry(&mut self, change: &Change, item: &Item) {
@@ -96,13 +103,14 @@
     pub(super) fn relayed_values(&self) -> Vec<proto::StoredValue> {
         let entries = self.entries.iter();
         let in_effect = entries.filter(|(_, entry)| !self.directory.is_deferred(&entry.server));
-        let entries = in_effect.map(|(key, entry)| (key, &entry.value));
-        let configuration = self.configuration.iter().map(|(key, value)| (key, value));
-        let values = configuration.chain(entries).map(|(key, value)| proto::StoredValue {
-            key: key.to_string(),
-            value: value.clone(),
-        });
-        values.collect()
+        let entries = in_effect.map(|(key, entry)| stored_value(key, &entry.value));
+        self.relayed_configuration().into_iter().chain(entries).collect()
+    }
+
+    /// Returns the configuration in effect for another instance.
+    pub(super) fn relayed_configuration(&self) -> Option<proto::StoredValue> {
+        let configuration = self.configuration.as_ref();
+        configuration.map(|(key, value)| stored_value(key, value))
     }
 }
 
@@ -185,6 +193,18 @@
         }
     }
 
+    /// Applies the configuration that another instance sent, if it has a later revision than the one in effect.
+    pub(super) fn on_relayed_configuration(&self, change: Change) {
+        let Some(Item::Routing(routing)) = (self.decoder)(&change) else {
+            return;
+        };
+        let mut platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = platform.routing.as_ref().map(|current| current.revision);
+        if current.is_none_or(|current| routing.revision > current) && self.on_routing(&mut platform, routing, change) {
+            self.put_in_effect(&platform);
+        }
+    }
+
     /// Applies changes up to `position`, and returns whether they are visible to requests.
     fn apply(
         &self,
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -35,6 +35,10 @@
 /// Time for which a connection waits for the next request of the instance that opened it.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after the start of an instance in which it requests the configuration in effect at others. It covers the first
+/// exchanges with the seeds.
+const STARTING_TIME: Duration = Duration::from_secs(5);
+
 /// Delay after a failed accept. Without it, a lack of file descriptors would cause a busy loop.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -58,6 +62,11 @@
         let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
         let position = platform.position.unwrap_or_default();
         let sends_values = requester.is_some_and(|requester| requester.cut && roster_position(requester) < position);
+        let revision = platform.routing.as_ref().map_or(0, |routing| routing.revision);
+        let is_starting = self.started_at.elapsed() < STARTING_TIME;
+        let needs_configuration = requester
+            .and_then(|requester| requester.starting_revision)
+            .is_some_and(|starting| starting < revision && !sends_values);
         proto::Roster {
             members,
             era: position.era,
@@ -69,6 +78,8 @@
                 Vec::new()
             },
             limits: rate_limits::recent_notices(&platform.directory, now),
+            starting_revision: is_starting.then_some(revision),
+            configuration: platform.relayed_configuration().filter(|_| needs_configuration),
         }
     }
 
@@ -85,13 +96,13 @@
         }
         self.on_peer_limits(&roster.limits, now);
         let position = roster_position(&roster);
+        if let Some(stored) = roster.configuration {
+            self.on_relayed_configuration(stored.into());
+        }
         if roster.values.is_empty() {
             return;
         }
-        let changes = roster.values.into_iter().map(|stored| Change {
-            key: stored.key.into(),
-            value: Some(stored.value),
-        });
+        let changes = roster.values.into_iter().map(Change::from);
         self.on_relayed(changes.collect(), position);
     }
 
@@ -118,6 +129,15 @@
     }
 }
 
+impl From<proto::StoredValue> for Change {
+    fn from(stored: proto::StoredValue) -> Self {
+        Self {
+            key: stored.key.into(),
+            value: Some(stored.value),
+        }
+    }
+}
+
 /// Returns the position up to which the sender of a roster has read the platform.
 const fn roster_position(roster: &proto::Roster) -> Position {
     Position {
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -446,6 +446,13 @@
     /// Era of the platform in which the revision `position` was given out.
     #[prost(uint64, tag = "6")]
     pub era: u64,
+    /// Revision of the configuration in effect, or 0, at a sender that started recently; absent otherwise. The platform may
+    /// hold an older configuration than the receiver after it was restored.
+    #[prost(uint64, optional, tag = "7")]
+    pub starting_revision: ::core::option::Option<u64>,
+    /// Configuration in effect at the sender, for a receiver that started recently with an earlier one.
+    #[prost(message, optional, tag = "8")]
+    pub configuration: ::core::option::Option<StoredValue>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ServerLimit {
