gateway: read the platform at once after a reader was left

A change written right after the store had returned from a copy was in effect at followers only after 3.5 s (3 s allowed), where the store had reached exactly the revision that they knew: the reader notices the new era first and answers that it is stale, and the follower's own read from the old position then waits for its full 2.5 s, since there is no change after this revision. The first read after a reader was left now does not wait; its answer names the era.

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -35,7 +35,7 @@
 const RESPONSE_RESERVE: Duration = Duration::from_millis(1500);
 
 /// Wait of a read that should return immediately.
-const MIN_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// Lag behind the platform above which it is logged.
 const LAG_LOG_THRESHOLD: Duration = Duration::from_secs(1);
--- a/src/process/gateway/followers.rs
+++ b/src/process/gateway/followers.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
+use crate::process::discovery;
 use crate::process::discovery::Change;
 use crate::process::discovery::Changes;
 use crate::process::discovery::Origin;
@@ -150,6 +151,9 @@
                     info!(log, "reader_left"; "reader" => %address, "error" => %error, "position" => position);
                     self.reader = None;
                     self.fallback_until = Some(Instant::now() + FALLBACK_TIME);
+                    // The reader may have left because the platform was restored, which a waiting read shows only when
+                    // its wait ends.
+                    return self.platform.read_changes(position, discovery::MIN_WAIT).await;
                 }
             }
         }
