discovery: bound the pause and the wait of a read together

If a restored store has reached exactly the known revision again, a read for changes shows the new era only when its wait ends. The pause after a change came on top of the wait: 1 s and 2.5 s, 2 s and 4.5 s where the store counts as stable after 6 s, so with the time for the response a restore during the pause was noticed after that (4.7 s of 4 s, 7.7 s of 6 s). The wait is now shortened by the pause before it. One read more follows each change that has no successor.

--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -103,13 +103,15 @@
         self.effect_time.mul_f64(READER_WAIT_SHARE).min(READER_WAIT_MAX)
     }
 
-    /// Returns how long a read that begins at `now` waits for changes. The wait ends no later than `grace_until`, the
-    /// end of the grace period for lapsed entries, so that the next read shows without delay which of them the servers
-    /// have renewed.
+    /// Returns how long a read that begins at `now`, after a pause of `paused`, waits for changes. Pause and wait together
+    /// are bounded, because a platform that was restored during the pause may show its new era only at the end of the wait.
+    /// The wait ends no later than `grace_until`, the end of the grace period for lapsed entries, so that the next read
+    /// shows without delay which of them the servers have renewed.
     #[must_use]
-    pub fn wait(self, grace_until: Option<Instant>, now: Instant) -> Duration {
+    pub fn wait(self, grace_until: Option<Instant>, paused: Duration, now: Instant) -> Duration {
+        let wait = self.read_wait().saturating_sub(paused).max(MIN_WAIT);
         let until = |grace_until: Instant| grace_until.saturating_duration_since(now).max(MIN_WAIT);
-        grace_until.map_or(self.read_wait(), |grace_until| self.read_wait().min(until(grace_until)))
+        grace_until.map_or(wait, |grace_until| wait.min(until(grace_until)))
     }
 
     /// Returns the pause after a read. There is none after a response with only part of the changes: responses have a
@@ -334,6 +336,7 @@
     let freshness = gateway.settings.freshness;
     let mut failures = 0_u32;
     let mut needs_full_read = false;
+    let mut paused = Duration::ZERO;
     let mut lag = Lag::default();
     loop {
         // Another instance may have advanced the position while this one could not read the platform.
@@ -343,8 +346,9 @@
             // Returns without waiting for a change, because the read only checks whether the platform is reachable.
             MIN_WAIT
         } else {
-            gateway.bound_for_followers(freshness.wait(gateway.grace_until(), started))
+            gateway.bound_for_followers(freshness.wait(gateway.grace_until(), paused, started))
         };
+        paused = Duration::ZERO;
         let (scope, read) = match position {
             None => (ReadScope::Full, client.read_all().await),
             Some(position) => {
@@ -375,7 +379,8 @@
                 // Reads from another instance are free, and that instance has paused already.
                 if origin == Origin::Platform {
                     let pause = freshness.pause(outcome, gateway.grace_until(), Instant::now());
-                    tokio::time::sleep(gateway.bound_for_followers(pause)).await;
+                    paused = gateway.bound_for_followers(pause);
+                    tokio::time::sleep(paused).await;
                 }
             }
             Err(ReadError::Restored) if scope == ReadScope::Incremental => {
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -307,9 +307,9 @@
         settle_time: Duration::from_secs(4),
         effect_time: Duration::from_secs(3),
     };
-    assert_eq!(freshness.wait(None, now), freshness.read_wait());
-    assert_eq!(freshness.wait(Some(now + ms(300)), now), ms(300));
-    assert!(freshness.wait(Some(now), now + ms(5)) <= ms(1));
+    assert_eq!(freshness.wait(None, Duration::ZERO, now), freshness.read_wait());
+    assert_eq!(freshness.wait(Some(now + ms(300)), Duration::ZERO, now), ms(300));
+    assert!(freshness.wait(Some(now), Duration::ZERO, now + ms(5)) <= ms(1));
     assert_eq!(
         freshness.pause(ReadOutcome::Changed, None, now),
         freshness.change_pause()
