--- a/crates/gateway-soak/src/restores.rs
+++ b/crates/gateway-soak/src/restores.rs
@@ -39,8 +39,7 @@
         }
     }
 
-    /// Writes lost values again when they are due, and copies or restores the store now and then. A second restore may come
-    /// before the values lost by the first one are written again.
+    /// Writes lost values again when they are due, and copies or restores the store now and then.
     pub fn inject_next(&mut self, fleet: &Fleet) {
         if let Some((lost, _)) = self.lost.take_if(|(_, due)| *due <= Instant::now()) {
             fleet.store.write_again(&lost);
@@ -65,7 +64,7 @@
         }
     }
 
-    /// Restores the store. The values that it loses, also by an earlier restore, are written again at `due`.
+    /// Restores the store. The values that it loses are written again at `due`, and those of an earlier restore before it.
     fn restore(&mut self, fleet: &Fleet, due: Instant) {
         if let Some((lost, _)) = self.lost.take() {
             fleet.store.write_again(&lost);
--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -2,7 +2,8 @@
 //!
 //! The adapter of a platform implements [`PlatformClient`]. [`run`] reads everything once and then waits for changes
 //! from the position it reached, so that no change is missed. During a platform outage, the instance continues with
-//! the last known state. See "Reading the platform" in `docs/design/platform.md`.
+//! the last known state. When the platform returns from a copy of its state, everything is read again. See "Reading the
+//! platform" in `docs/design/platform.md`.
 //!
 //! Usually one instance of each data centre, the reader, reads the platform, and the others, its followers, read the
 //! changes from it. A follower that cannot use its reader reads the platform itself. A reader uses shorter waits and
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -55,7 +55,7 @@
     pub(crate) platform_lag: Gauge<f64, AtomicU64>,
     /// Era of the platform at the last read.
     pub(crate) platform_era: Gauge,
-    /// Number of reads of all values of the platform.
+    /// Number of full reads of the platform.
     pub(crate) full_reads: Counter,
 }
 
@@ -106,7 +106,7 @@
         );
         registry.register(
             "platform_era",
-            "Number of times that the platform has returned from a copy of its state",
+            "Era of the platform, which rises when it returns from a copy of its state",
             metrics.platform_era.clone(),
         );
         registry.register(
