--- a/crates/gateway-soak/src/callers.rs
+++ b/crates/gateway-soak/src/callers.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
 use platform_standin::values;
 use rand::Rng;
 use rand::SeedableRng;
@@ -90,6 +91,12 @@
     }
 }
 
+/// Returns the exchanges by the ids of their requests.
+pub fn by_id(exchanges: &[Exchange]) -> IndexMap<&str, &Exchange> {
+    let named = exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange));
+    named.collect()
+}
+
 /// Running callers of all processes.
 pub struct Callers {
     tasks: JoinSet<Vec<Exchange>>,
--- a/crates/gateway-soak/src/limits.rs
+++ b/crates/gateway-soak/src/limits.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::callers;
 use crate::callers::Exchange;
 use crate::callers::process_prefix;
 use crate::check::Findings;
@@ -77,10 +78,7 @@
 
 /// Checks that the processes which relayed a limit keep it together. `planted_fault` tests this check.
 pub fn check(exchanges: &[Exchange], fleet: &Fleet, planted_fault: Option<&str>, findings: &mut Findings) {
-    let by_id: IndexMap<&str, &Exchange> = exchanges
-        .iter()
-        .map(|exchange| (exchange.id.as_str(), exchange))
-        .collect();
+    let by_id = callers::by_id(exchanges);
     for backend in &fleet.backends {
         let arrivals = backend.server.arrivals();
         for period in periods(backend) {
--- a/crates/gateway-soak/src/notices.rs
+++ b/crates/gateway-soak/src/notices.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::callers;
 use crate::callers::Exchange;
 use crate::callers::process_prefix;
 use crate::check::Findings;
@@ -70,10 +71,7 @@
 
 /// Checks that processes which received a notice obey it. `planted_fault` falsifies the data to test these checks.
 pub fn check(exchanges: &[Exchange], fleet: &Fleet, planted_fault: Option<&str>, findings: &mut Findings) {
-    let by_id: IndexMap<&str, &Exchange> = exchanges
-        .iter()
-        .map(|exchange| (exchange.id.as_str(), exchange))
-        .collect();
+    let by_id = callers::by_id(exchanges);
     for backend in &fleet.backends {
         let arrivals = backend.server.arrivals();
         for (number, process) in fleet.processes.iter().enumerate() {
