gateway: tell other instances which restored entries are outdated

After the store returned from a copy, a server that had left got requests again from instances that could not know better: one that had started since, and one that had not read the departure before the store lost it. The others deferred the entry and did not say so.

An instance that may lack later state than the platform's (for 5 s after its start, and from a return until the deferred entries are decided) names its revision in rosters, as starting instances did before. The reply has the configuration in effect if it is later, and now also the entries that the sender defers. The receiver defers them as well, unless a change of this era wrote them: the sender may not have read that change. Exchanges follow every 0.5 s in this time.

Ruled out: to send departures at all times. Outside of a restoration the platform has them.

--- a/src/process/backends/directory.rs
+++ b/src/process/backends/directory.rs
@@ -68,6 +68,8 @@
     leaving: bool,
     /// Whether the entry is missing and the server is kept until the grace period ends.
     lapsed: bool,
+    /// Whether a change wrote the entry since the platform last returned from a copy.
+    is_confirmed: bool,
 }
 
 impl ServerRecord {
@@ -141,7 +143,44 @@
     /// entries that the copy has are handled by [`Directory::on_listed`].
     pub fn on_restored(&mut self, now: Instant) {
         self.grace_until = Some(now + LAPSE_GRACE);
-        self.restoration = Some(Restoration::new(now, LAPSE_GRACE + self.entry_ttl));
+        self.restoration = Some(self.new_restoration(now));
+        for record in self.servers.values_mut() {
+            record.is_confirmed = false;
+        }
+    }
+
+    /// Creates a period after which an entry that is still listed belongs to a running server: servers renew their entries
+    /// within [`LAPSE_GRACE`], and the platform removes the entries of the others.
+    fn new_restoration(&self, now: Instant) -> Restoration {
+        Restoration::new(now, LAPSE_GRACE + self.entry_ttl)
+    }
+
+    /// Returns whether the platform may still list outdated entries after it returned from a copy.
+    #[must_use]
+    pub const fn is_restoring(&self) -> bool {
+        self.restoration.is_some()
+    }
+
+    /// Returns the servers whose listed entries are outdated, with the start times in these entries.
+    pub fn outdated_entries(&self) -> impl Iterator<Item = (&SearcherId, u64)> {
+        self.restoration.iter().flat_map(Restoration::deferred)
+    }
+
+    /// Handles the notice of another instance that the listed entry of a server is outdated. The entry is deferred unless a
+    /// change wrote it since the platform returned from the copy: the other instance may not have read that change.
+    pub fn on_peer_outdated(&mut self, id: &str, started_ms: u64, now: Instant) -> EntryChange {
+        let is_meant = |record: &&ServerRecord| {
+            record.backend.entry.started_ms == started_ms && !record.leaving && !record.is_confirmed
+        };
+        let Some(record) = self.servers.get(id).filter(is_meant) else {
+            return EntryChange::Unchanged;
+        };
+        let entry = record.backend.entry.clone();
+        let mut restoration = self.restoration.take().unwrap_or_else(|| self.new_restoration(now));
+        self.remove(id, restoration.began());
+        restoration.defer(entry);
+        self.restoration = Some(restoration);
+        EntryChange::Deferred
     }
 
     /// Records that a listing of all entries begins. It replaces the entries deferred from an earlier one.
@@ -156,7 +195,7 @@
     pub fn on_listed(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
         let is_over = |restoration: &Restoration| restoration.is_over(now) && !self.is_platform_lost;
         if self.restoration.as_ref().is_none_or(is_over) || !self.is_outdated(&entry) {
-            return self.on_entry(entry, now);
+            return self.apply_entry(entry, false, now);
         }
         if let Some(record) = self.servers.get_mut(&entry.id)
             && !record.backend.entry.is_same_incarnation(&entry)
@@ -197,7 +236,7 @@
         };
         let entries = restoration.into_deferred();
         entries
-            .map(|entry| (entry.clone(), self.on_entry(entry, now)))
+            .map(|entry| (entry.clone(), self.apply_entry(entry, false, now)))
             .collect()
     }
 
@@ -215,13 +254,19 @@
         }
     }
 
-    /// Adds a server or updates its entry.
+    /// Adds a server or updates its entry after a change of the entry.
     pub fn on_entry(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
         self.drop_deferred(&entry.id);
+        self.apply_entry(entry, true, now)
+    }
+
+    /// Adds a server or updates its entry. `is_change` states whether a change was read, and not a listing.
+    fn apply_entry(&mut self, entry: BackendEntry, is_change: bool, now: Instant) -> EntryChange {
         if let Some(record) = self.servers.get_mut(&entry.id)
             && record.backend.entry.is_same_incarnation(&entry)
         {
             record.lapsed = false;
+            record.is_confirmed |= is_change;
             let change = match (record.leaving, entry.leaving) {
                 (false, true) => EntryChange::Leaving,
                 (true, false) => EntryChange::Joined,
@@ -239,6 +284,7 @@
             backend: returned.unwrap_or_else(|| Arc::new(self.new_backend(entry, now))),
             leaving,
             lapsed: false,
+            is_confirmed: is_change,
         };
         match (self.servers.insert(id, record), leaving) {
             (_, true) => EntryChange::Leaving,
--- a/src/process/backends/restoration.rs
+++ b/src/process/backends/restoration.rs
@@ -51,6 +51,11 @@
         self.deferred.clear();
     }
 
+    /// Returns the servers whose entries are deferred, with the start times in these entries.
+    pub(super) fn deferred(&self) -> impl Iterator<Item = (&SearcherId, u64)> {
+        self.deferred.values().map(|entry| (&entry.id, entry.started_ms))
+    }
+
     /// Returns whether the entry of a server is deferred.
     pub(super) fn is_deferred(&self, id: &str) -> bool {
         self.deferred.contains_key(id)
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -15,6 +15,7 @@
 mod program;
 mod rate_limits;
 mod reachability;
+mod relay;
 mod request;
 mod roster_exchange;
 mod settings;
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -12,7 +12,6 @@
 use slog::info;
 use slog::warn;
 
-use crate::ids::SearcherId;
 use crate::process::backends::Backend;
 use crate::process::backends::BackendEntry;
 use crate::process::backends::Directory;
@@ -29,6 +28,7 @@
 use crate::process::extra::ExtraLimits;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::log_quota::LogTopic;
+use crate::process::gateway::relay::StoredEntry;
 use crate::process::gossip::Source;
 use crate::version::routing::Routing;
 use crate::wire::proto;
@@ -37,13 +37,6 @@
 /// pause and a response of a slow platform.
 const MAX_STATE_AGE: Duration = Duration::from_secs(4);
 
-/// Entry of a server as it was read.
-#[derive(Debug)]
-pub(super) struct StoredEntry {
-    server: SearcherId,
-    value: Bytes,
-}
-
 /// State received from the platform.
 #[derive(Debug)]
 pub(super) struct PlatformState {
@@ -69,51 +62,6 @@
     pub(super) is_stopping: bool,
 }
 
-fn stored_value(key: &str, value: &Bytes) -> proto::StoredValue {
-    proto::StoredValue {
-        key: key.into(),
-        value: value.clone(),
-    }
-}
-
-impl PlatformState {
-    /// Stores or removes the entry of a server.
-    fn store_entry(&mut self, change: &Change, item: &Item) {
-        let server = match item {
-            Item::Server(entry) => Some(&entry.id),
-            Item::Unreadable { server, .. } => server.as_ref(),
-            Item::ServerMissing(_) | Item::Routing(_) => None,
-        };
-        match (server, &change.value) {
-            (Some(server), Some(value)) => {
-                let entry = StoredEntry {
-                    server: server.clone(),
-                    value: value.clone(),
-                };
-                self.entries.insert(change.key.clone(), entry);
-            }
-            _ => {
-                self.entries.swap_remove(&change.key);
-            }
-        }
-    }
-
-    /// Returns the values that an instance without access to the platform should use. Entries that have no effect here are
-    /// left out, because another instance may lack the knowledge that contradicts them.
-    pub(super) fn relayed_values(&self) -> Vec<proto::StoredValue> {
-        let entries = self.entries.iter();
-        let in_effect = entries.filter(|(_, entry)| !self.directory.is_deferred(&entry.server));
-        let entries = in_effect.map(|(key, entry)| stored_value(key, &entry.value));
-        self.relayed_configuration().into_iter().chain(entries).collect()
-    }
-
-    /// Returns the configuration in effect for another instance.
-    pub(super) fn relayed_configuration(&self) -> Option<proto::StoredValue> {
-        let configuration = self.configuration.as_ref();
-        configuration.map(|(key, value)| stored_value(key, value))
-    }
-}
-
 impl Gateway {
     /// Applies the result of a read of the platform that began at `started`, and returns what the next read has to cover.
     ///
@@ -176,37 +124,8 @@
             .set(i64::try_from(position.era).unwrap_or(i64::MAX));
     }
 
-    /// Applies the complete state that another instance read up to `position`. It is ignored while this instance can
-    /// read the platform itself.
-    pub(crate) fn on_relayed(&self, changes: Vec<Change>, position: Position) {
-        let now = Instant::now();
-        let mut platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_behind = platform.position.is_none_or(|current| current < position);
-        if !is_behind || !(platform.directory.is_platform_lost() || platform.position.is_none()) {
-            return;
-        }
-        platform.relayed_at = Some(now);
-        info!(self.log, "platform_relayed"; "position" => position, "before" => platform.position,
-            "values" => changes.len());
-        if self.apply(&mut platform, changes, position, ReadScope::Full, now) {
-            self.put_in_effect(&platform);
-        }
-    }
-
-    /// Applies the configuration that another instance sent, if it has a later revision than the one in effect.
-    pub(super) fn on_relayed_configuration(&self, change: Change) {
-        let Some(Item::Routing(routing)) = (self.decoder)(&change) else {
-            return;
-        };
-        let mut platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
-        let current = platform.routing.as_ref().map(|current| current.revision);
-        if current.is_none_or(|current| routing.revision > current) && self.on_routing(&mut platform, routing, change) {
-            self.put_in_effect(&platform);
-        }
-    }
-
     /// Applies changes up to `position`, and returns whether they are visible to requests.
-    fn apply(
+    pub(super) fn apply(
         &self,
         platform: &mut PlatformState,
         changes: Vec<Change>,
@@ -352,7 +271,7 @@
 
     /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does. After the
     /// platform lost a configuration, its revision may be given out again for another one.
-    fn on_routing(&self, platform: &mut PlatformState, routing: Box<Routing>, change: Change) -> bool {
+    pub(super) fn on_routing(&self, platform: &mut PlatformState, routing: Box<Routing>, change: Change) -> bool {
         let current = platform.routing.as_ref().map(|current| current.revision);
         let value = platform.configuration.as_ref().map(|(_, value)| value);
         let is_known = value.is_some() && value == change.value.as_ref();
@@ -393,7 +312,7 @@
     }
 
     /// Logs the change of a server, and returns whether it is visible to requests.
-    fn log_server_change(&self, server: &BackendEntry, change: EntryChange) -> bool {
+    pub(super) fn log_server_change(&self, server: &BackendEntry, change: EntryChange) -> bool {
         let event = match change {
             EntryChange::Unchanged => return false,
             EntryChange::Joined => "server_joined",
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -23,6 +23,7 @@
 use crate::process::gateway::Gateway;
 use crate::process::gateway::followers;
 use crate::process::gateway::rate_limits;
+use crate::process::gateway::relay;
 use crate::process::gossip::InstanceCount;
 use crate::wire::codec::CodecError;
 use crate::wire::codec::FrameCodec;
@@ -35,10 +36,6 @@
 /// Time for which a connection waits for the next request of the instance that opened it.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time after the start of an instance in which it requests the configuration in effect at others. It covers the first
-/// exchanges with the seeds.
-const STARTING_TIME: Duration = Duration::from_secs(5);
-
 /// Delay after a failed accept. Without it, a lack of file descriptors would cause a busy loop.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -63,10 +60,9 @@
         let position = platform.position.unwrap_or_default();
         let sends_values = requester.is_some_and(|requester| requester.cut && roster_position(requester) < position);
         let revision = platform.routing.as_ref().map_or(0, |routing| routing.revision);
-        let is_starting = self.started_at.elapsed() < STARTING_TIME;
-        let needs_configuration = requester
-            .and_then(|requester| requester.starting_revision)
-            .is_some_and(|starting| starting < revision && !sends_values);
+        let requested = requester.and_then(|requester| requester.revision);
+        let needs_configuration = requested.is_some_and(|requested| requested < revision && !sends_values);
+        let outdated = requested.map(|_revision| relay::outdated_entries(&platform.directory));
         proto::Roster {
             members,
             era: position.era,
@@ -78,8 +74,9 @@
                 Vec::new()
             },
             limits: rate_limits::recent_notices(&platform.directory, now),
-            starting_revision: is_starting.then_some(revision),
-            configuration: platform.relayed_configuration().filter(|_| needs_configuration),
+            revision: self.may_lack_state(&platform.directory).then_some(revision),
+            configuration: needs_configuration.then(|| platform.relayed_configuration()).flatten(),
+            outdated: outdated.unwrap_or_default(),
         }
     }
 
@@ -99,6 +96,7 @@
         if let Some(stored) = roster.configuration {
             self.on_relayed_configuration(stored.into());
         }
+        self.on_peer_outdated(&roster.outdated, now);
         if roster.values.is_empty() {
             return;
         }
@@ -109,11 +107,12 @@
     /// Removes expired instances, and returns the partner of the next exchange and the time until the one after.
     fn next_exchange(&self, rng: &mut SmallRng) -> (Option<SocketAddr>, Duration) {
         let is_unreachable = self.is_platform_unreachable();
+        let is_restoring = self.is_restoring();
         let mut gossip = self.gossip.lock().unwrap_or_else(PoisonError::into_inner);
         let before = gossip.count();
         gossip.on_tick(Instant::now());
         let count = gossip.count();
-        let next = (gossip.next_peer(rng), gossip.interval(is_unreachable));
+        let next = (gossip.next_peer(rng), gossip.interval(is_unreachable || is_restoring));
         drop(gossip);
         if count != before {
             self.on_instances(before, count);
@@ -129,15 +128,6 @@
     }
 }
 
-impl From<proto::StoredValue> for Change {
-    fn from(stored: proto::StoredValue) -> Self {
-        Self {
-            key: stored.key.into(),
-            value: Some(stored.value),
-        }
-    }
-}
-
 /// Returns the position up to which the sender of a roster has read the platform.
 const fn roster_position(roster: &proto::Roster) -> Position {
     Position {
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -446,13 +446,24 @@
     /// Era of the platform in which the revision `position` was given out.
     #[prost(uint64, tag = "6")]
     pub era: u64,
-    /// Revision of the configuration in effect, or 0, at a sender that started recently; absent otherwise. The platform may
-    /// hold an older configuration than the receiver after it was restored.
+    /// Revision of the configuration in effect, or 0, at a sender that may lack later state than the platform's: it started
+    /// recently, or the platform was restored. Absent otherwise.
     #[prost(uint64, optional, tag = "7")]
-    pub starting_revision: ::core::option::Option<u64>,
-    /// Configuration in effect at the sender, for a receiver that started recently with an earlier one.
+    pub revision: ::core::option::Option<u64>,
+    /// Configuration in effect at the sender, for a receiver that named an earlier revision.
     #[prost(message, optional, tag = "8")]
     pub configuration: ::core::option::Option<StoredValue>,
+    /// Entries of the platform that are outdated according to the sender, for a receiver that named a revision.
+    #[prost(message, repeated, tag = "9")]
+    pub outdated: ::prost::alloc::vec::Vec<OutdatedEntry>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OutdatedEntry {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of the incarnation of the server in the entry, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ServerLimit {
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -251,6 +251,33 @@
     assert!(ids(&directory).is_empty());
 }
 
+/// Guards against a server that registered again and is taken out of use by an instance that has not read this, and against
+/// a notice that concerns another incarnation.
+#[test]
+fn a_peer_defers_only_entries_that_no_change_confirmed() {
+    let now = Instant::now();
+    let until = now + LAPSE_GRACE + ENTRY_TTL;
+    let mut directory = Directory::new("here".into(), ENTRY_TTL);
+    directory.on_entry(entry("a", "here"), now);
+    directory.on_restored(now);
+    directory.on_listed(entry("a", "here"), now);
+    assert_eq!(directory.on_peer_outdated("a", 2, now), EntryChange::Unchanged);
+    assert_eq!(directory.on_peer_outdated("a", 1, now), EntryChange::Deferred);
+    assert!(ids(&directory).is_empty());
+    // The next listing does not undo it.
+    directory.on_listing();
+    assert_eq!(directory.on_listed(entry("a", "here"), now), EntryChange::Deferred);
+    assert_eq!(directory.on_entry(entry("a", "here"), now), EntryChange::Joined);
+    assert_eq!(directory.on_peer_outdated("a", 1, now), EntryChange::Unchanged);
+    assert_eq!(ids(&directory), ["a"]);
+    // A second restore may have lost the change.
+    directory.on_restored(now);
+    directory.on_listed(entry("a", "here"), now);
+    assert_eq!(directory.on_peer_outdated("a", 1, now), EntryChange::Deferred);
+    assert_eq!(directory.apply_deferred(until, until).len(), 1);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
 /// Guards against deferred entries of one copy that are applied after the platform returned from another copy without
 /// them, and against their use during an outage that outlasts the period.
 #[test]
