--- a/crates/gateway-soak/src/limits.rs
+++ b/crates/gateway-soak/src/limits.rs
@@ -46,8 +46,8 @@
         Self { rng, is_started: false }
     }
 
-    /// Makes random servers announce limits at the start of the run, and one now and then later. A limit does not change
-    /// while it lasts, so that the check knows what applies.
+    /// Makes random servers announce limits at the start of the run, and one now and then later. A limit does not
+    /// change while it lasts, so that the check knows what applies.
     pub fn inject_next(&mut self, fleet: &mut Fleet) {
         let named = if self.is_started {
             usize::from(self.rng.random_bool(ANNOUNCE_PROBABILITY))
--- a/crates/gateway-soak/src/restores.rs
+++ b/crates/gateway-soak/src/restores.rs
@@ -53,8 +53,8 @@
         }
     }
 
-    /// Publishes a configuration, restores the store a last time, and writes all lost values again. The later writes of the
-    /// run then pass the revisions that the processes have read.
+    /// Publishes a configuration, restores the store a last time, and writes all lost values again. The later writes of
+    /// the run then pass the revisions that the processes have read.
     pub async fn finish(&mut self, fleet: &mut Fleet) {
         fleet.publish_next_version();
         tokio::time::sleep(READ_TIME).await;
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Restores the store. The values that it loses are written again at `due`, and those of an earlier restore before it.
+    /// Restores the store. The values that it loses are written again at `due`, and those of an earlier restore before
+    /// it.
     fn restore(&mut self, fleet: &Fleet, due: Instant) {
         if let Some((lost, _)) = self.lost.take() {
             fleet.store.write_again(&lost);
--- a/src/process/backends/directory.rs
+++ b/src/process/backends/directory.rs
@@ -1,8 +1,8 @@
 //! Decides from the platform's entries which servers may receive requests.
 //!
 //! Entries can expire while their owner is still running, and a platform that returned from a copy of its state lacks
-//! entries or has outdated ones. A missing entry is tolerated for [`LAPSE_GRACE`] after such an event, and an outdated one
-//! is deferred. See "Backend servers" in `docs/design/platform.md`.
+//! entries or has outdated ones. A missing entry is tolerated for [`LAPSE_GRACE`] after such an event, and an outdated
+//! one is deferred. See "Backend servers" in `docs/design/platform.md`.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -97,8 +97,8 @@
 }
 
 impl Directory {
-    /// Creates an empty directory for an instance in `data_centre`. `entry_ttl` is the time without a heartbeat after which
-    /// the platform removes an entry.
+    /// Creates an empty directory for an instance in `data_centre`. `entry_ttl` is the time without a heartbeat after
+    /// which the platform removes an entry.
     #[must_use]
     pub fn new(data_centre: DataCentreId, entry_ttl: Duration) -> Self {
         Self {
@@ -139,8 +139,8 @@
     }
 
     /// Records that the platform has returned from a copy of its state. Entries written after the copy was made are
-    /// missing until their servers register again, so this starts the grace period, even if no outage was noticed. Older
-    /// entries that the copy has are handled by [`Directory::on_listed`].
+    /// missing until their servers register again, so this starts the grace period, even if no outage was noticed.
+    /// Older entries that the copy has are handled by [`Directory::on_listed`].
     pub fn on_restored(&mut self, now: Instant) {
         self.grace_until = Some(now + LAPSE_GRACE);
         self.restoration = Some(self.new_restoration(now));
@@ -149,8 +149,8 @@
         }
     }
 
-    /// Creates a period after which an entry that is still listed belongs to a running server: servers renew their entries
-    /// within [`LAPSE_GRACE`], and the platform removes the entries of the others.
+    /// Creates a period after which an entry that is still listed belongs to a running server: servers renew their
+    /// entries within [`LAPSE_GRACE`], and the platform removes the entries of the others.
     fn new_restoration(&self, now: Instant) -> Restoration {
         Restoration::new(now, LAPSE_GRACE + self.entry_ttl)
     }
@@ -166,8 +166,9 @@
         self.restoration.iter().flat_map(Restoration::deferred)
     }
 
-    /// Handles the notice of another instance that the listed entry of a server is outdated. The entry is deferred unless a
-    /// change wrote it since the platform returned from the copy: the other instance may not have read that change.
+    /// Handles the notice of another instance that the listed entry of a server is outdated. The entry is deferred
+    /// unless a change wrote it since the platform returned from the copy: the other instance may not have read that
+    /// change.
     pub fn on_peer_outdated(&mut self, id: &str, started_ms: u64, now: Instant) -> EntryChange {
         let is_meant = |record: &&ServerRecord| {
             record.backend.entry.started_ms == started_ms && !record.leaving && !record.is_confirmed
@@ -191,7 +192,8 @@
     }
 
     /// Adds a server or updates its entry from a listing of all entries. Unlike a change, a listed entry may have been
-    /// written before the platform returned from a copy, so it is deferred if it would undo a later state of its server.
+    /// written before the platform returned from a copy, so it is deferred if it would undo a later state of its
+    /// server.
     pub fn on_listed(&mut self, entry: BackendEntry, now: Instant) -> EntryChange {
         let is_over = |restoration: &Restoration| restoration.is_over(now) && !self.is_platform_lost;
         if self.restoration.as_ref().is_none_or(is_over) || !self.is_outdated(&entry) {
@@ -208,8 +210,8 @@
         EntryChange::Deferred
     }
 
-    /// Returns whether a listed entry is older than what was known of its server when the platform returned from a copy:
-    /// the server was leaving, removed, or restarted by then.
+    /// Returns whether a listed entry is older than what was known of its server when the platform returned from a
+    /// copy: the server was leaving, removed, or restarted by then.
     fn is_outdated(&self, entry: &BackendEntry) -> bool {
         if let Some(record) = self.servers.get(&entry.id) {
             let known = &record.backend.entry;
@@ -226,8 +228,8 @@
         self.restoration.as_ref().is_some_and(was_removed) && entry.started_ms <= departed.backend.entry.started_ms
     }
 
-    /// Applies the deferred entries that are still listed if the directory reflects the state of the platform at `as_of`
-    /// and `as_of` is past the end of the restoration. Returns these entries with their changes.
+    /// Applies the deferred entries that are still listed if the directory reflects the state of the platform at
+    /// `as_of` and `as_of` is past the end of the restoration. Returns these entries with their changes.
     pub fn apply_deferred(&mut self, as_of: Instant, now: Instant) -> Vec<(BackendEntry, EntryChange)> {
         let is_platform_lost = self.is_platform_lost;
         let is_over = |restoration: &mut Restoration| restoration.is_over(as_of) && !is_platform_lost;
--- a/src/process/backends/rate_limit.rs
+++ b/src/process/backends/rate_limit.rs
@@ -1,8 +1,9 @@
 //! Rate limits that backend servers announce in their responses, and the share of one instance.
 //!
-//! An overloaded server announces the requests per second that it accepts from all instances together, in every response
-//! for as long as the limit applies. Instances do not agree on shares: each computes its own from the list of instances, so the
-//! shares add up to the limit as long as the lists are the same. See "Rate limits" in `docs/design/rate-limits.md`.
+//! An overloaded server announces the requests per second that it accepts from all instances together, in every
+//! response for as long as the limit applies. Instances do not agree on shares: each computes its own from the list of
+//! instances, so the shares add up to the limit as long as the lists are the same. See "Rate limits" in
+//! `docs/design/rate-limits.md`.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -86,8 +87,8 @@
     }
 }
 
-/// Returns the instances of `senders` that share the limit of `server`, which accepts `rate` from all of them, each with
-/// the rate at which it may send.
+/// Returns the instances of `senders` that share the limit of `server`, which accepts `rate` from all of them, each
+/// with the rate at which it may send.
 #[must_use]
 pub fn shares<'a>(
     rate: RequestRate,
@@ -153,8 +154,8 @@
         self.tokens -= 1.0;
     }
 
-    /// Returns the time at which a request may be sent that leaves the share `reserve` of a full bucket to others; `None`
-    /// if it may never be sent.
+    /// Returns the time at which a request may be sent that leaves the share `reserve` of a full bucket to others;
+    /// `None` if it may never be sent.
     #[must_use]
     pub fn available_at(&self, reserve: f64) -> Option<Instant> {
         // A bucket for a single token has nothing to reserve.
@@ -209,8 +210,8 @@
 }
 
 impl RateLimit {
-    /// Creates the limit of a server that announced one for the first time. [`RateLimit::set_share`] has to follow; until
-    /// then no request may be sent.
+    /// Creates the limit of a server that announced one for the first time. [`RateLimit::set_share`] has to follow;
+    /// until then no request may be sent.
     #[must_use]
     pub const fn new(rate: RequestRate, at: Instant) -> Self {
         Self {
@@ -227,8 +228,8 @@
         (self.notice, self.notified_at)
     }
 
-    /// Returns the rate in effect for all instances together, or `None` if there is no limit. It follows a lower limit at
-    /// once, and a higher one after 30 s.
+    /// Returns the rate in effect for all instances together, or `None` if there is no limit. It follows a lower limit
+    /// at once, and a higher one after 30 s.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
         self.lowest.map(|lowest| lowest.rate)
--- a/src/process/backends/restoration.rs
+++ b/src/process/backends/restoration.rs
@@ -22,7 +22,8 @@
 }
 
 impl Restoration {
-    /// Creates a period that begins at `now`. After `duration`, an entry that is still listed is the state of its server.
+    /// Creates a period that begins at `now`. After `duration`, an entry that is still listed is the state of its
+    /// server.
     pub(super) fn new(now: Instant, duration: Duration) -> Self {
         Self {
             began: now,
--- a/src/process/backends/selection.rs
+++ b/src/process/backends/selection.rs
@@ -132,7 +132,8 @@
 }
 
 /// Describes for the log why each server is unavailable: its name, the requests in flight and their limit, and
-/// `leaving`, `held` (Retry-After), `avoided` (after a failure), `rate_limited` or `no_connection` (all connections in use).
+/// `leaving`, `held` (Retry-After), `avoided` (after a failure), `rate_limited` or `no_connection` (all connections in
+/// use).
 #[must_use]
 pub fn describe(servers: &[Arc<Backend>], requirements: Requirements, now: Instant) -> String {
     let described = servers.iter().map(|server| {
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -280,9 +280,9 @@
         std::mem::take(&mut self.sends)
     }
 
-    /// Records the notice in the response to a request sent at `sent`. Returns the notice before if it was another one. A
-    /// response without a limit ends the limit only if its request was sent after the last notice: an earlier request may
-    /// have been answered before.
+    /// Records the notice in the response to a request sent at `sent`. Returns the notice before if it was another one.
+    /// A response without a limit ends the limit only if its request was sent after the last notice: an earlier request
+    /// may have been answered before.
     pub fn on_limit_notice(&mut self, notice: LimitNotice, sent: Instant, now: Instant) -> Option<LimitNotice> {
         let is_outdated = self.rate_limit.is_some_and(|limit| sent <= limit.last_notice().1);
         if notice == LimitNotice::Unlimited && is_outdated {
@@ -320,8 +320,8 @@
         }
     }
 
-    /// Returns the time from which the rate limit admits a request that leaves the share `reserve` of unused requests to
-    /// others; `None` if it admits none.
+    /// Returns the time from which the rate limit admits a request that leaves the share `reserve` of unused requests
+    /// to others; `None` if it admits none.
     #[must_use]
     pub fn limit_admits_at(&self, reserve: f64, now: Instant) -> Option<Instant> {
         self.rate_limit
@@ -366,9 +366,9 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the time at which the Retry-After time and the avoidance time are over and the rate limit admits a request
-    /// again, whichever is last. `None` if nothing holds requests back, or if the server is leaving or never gets
-    /// requests of this instance.
+    /// Returns the time at which the Retry-After time and the avoidance time are over and the rate limit admits a
+    /// request again, whichever is last. `None` if nothing holds requests back, or if the server is leaving or never
+    /// gets requests of this instance.
     #[must_use]
     pub fn available_at(&self) -> Option<Instant> {
         if self.is_leaving {
--- a/src/process/discovery.rs
+++ b/src/process/discovery.rs
@@ -104,10 +104,10 @@
         self.effect_time.mul_f64(READER_WAIT_SHARE).min(READER_WAIT_MAX)
     }
 
-    /// Returns how long a read that begins at `now`, after a pause of `paused`, waits for changes. Pause and wait together
-    /// are bounded, because a platform that was restored during the pause may show its new era only at the end of the wait.
-    /// The wait ends no later than `grace_until`, the end of the grace period for lapsed entries, so that the next read
-    /// shows without delay which of them the servers have renewed.
+    /// Returns how long a read that begins at `now`, after a pause of `paused`, waits for changes. Pause and wait
+    /// together are bounded, because a platform that was restored during the pause may show its new era only at the end
+    /// of the wait. The wait ends no later than `grace_until`, the end of the grace period for lapsed entries, so that
+    /// the next read shows without delay which of them the servers have renewed.
     #[must_use]
     pub fn wait(self, grace_until: Option<Instant>, paused: Duration, now: Instant) -> Duration {
         let wait = self.read_wait().saturating_sub(paused).max(MIN_WAIT);
@@ -296,8 +296,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Compacted`] or [`ReadError::Restored`] if the platform does not have the changes, and another
-    /// error if it cannot be read.
+    /// Returns [`ReadError::Compacted`] or [`ReadError::Restored`] if the platform does not have the changes, and
+    /// another error if it cannot be read.
     fn read_changes(
         &mut self,
         position: Position,
@@ -420,8 +420,8 @@
     known.filter(|id| !listed.contains(id)).cloned().collect()
 }
 
-/// Returns whether a configuration with revision `next` and another content replaces the one in effect, which has revision
-/// `current`.
+/// Returns whether a configuration with revision `next` and another content replaces the one in effect, which has
+/// revision `current`.
 #[must_use]
 pub fn replaces_revision(next: Revision, current: Option<Revision>) -> bool {
     current.is_none_or(|current| next >= current)
--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -43,8 +43,8 @@
     pub(super) directory: Directory,
     /// Entries of servers by their key, as they were read, for instances that cannot read the platform.
     pub(super) entries: IndexMap<Box<str>, StoredEntry>,
-    /// Key and value of the configuration in effect, for the same instances. The platform may hold an older one after it
-    /// returned from a copy.
+    /// Key and value of the configuration in effect, for the same instances. The platform may hold an older one after
+    /// it returned from a copy.
     pub(super) configuration: Option<(Box<str>, Bytes)>,
     pub(super) position: Option<Position>,
     /// Whether the last read was served by another instance.
@@ -63,10 +63,11 @@
 }
 
 impl Gateway {
-    /// Applies the result of a read of the platform that began at `started`, and returns what the next read has to cover.
+    /// Applies the result of a read of the platform that began at `started`, and returns what the next read has to
+    /// cover.
     ///
-    /// A result that is older than the state another instance sent in the meantime is dropped: it would undo changes that
-    /// are not read again. Any other full read replaces that state, because it shows what the platform has.
+    /// A result that is older than the state another instance sent in the meantime is dropped: it would undo changes
+    /// that are not read again. Any other full read replaces that state, because it shows what the platform has.
     pub fn on_platform_read(&self, read: Changes, scope: ReadScope, started: Instant) -> ReadScope {
         let now = Instant::now();
         if read.origin == Origin::Platform {
@@ -269,8 +270,8 @@
         }
     }
 
-    /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does. After the
-    /// platform lost a configuration, its revision may be given out again for another one.
+    /// Puts the configuration of `change` in effect if it replaces the current one, and returns whether it does. After
+    /// the platform lost a configuration, its revision may be given out again for another one.
     pub(super) fn on_routing(&self, platform: &mut PlatformState, routing: Box<Routing>, change: Change) -> bool {
         let current = platform.routing.as_ref().map(|current| current.revision);
         let value = platform.configuration.as_ref().map(|(_, value)| value);
--- a/src/process/gateway/relay.rs
+++ b/src/process/gateway/relay.rs
@@ -1,8 +1,8 @@
 //! State that instances pass to each other because the platform does not have it or cannot be read.
 //!
 //! An instance without access to the platform gets everything that another one uses. One that may lack later state than
-//! the platform's, because the platform returned from a copy, gets what contradicts the copy: the configuration in effect
-//! and the entries that are outdated. See "A platform that returns from a copy" in `docs/design/platform.md`.
+//! the platform's, because the platform returned from a copy, gets what contradicts the copy: the configuration in
+//! effect and the entries that are outdated. See "A platform that returns from a copy" in `docs/design/platform.md`.
 
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Returns the values that an instance without access to the platform should use. Entries that have no effect here are
-    /// left out, because another instance may lack the knowledge that contradicts them.
+    /// Returns the values that an instance without access to the platform should use. Entries that have no effect here
+    /// are left out, because another instance may lack the knowledge that contradicts them.
     pub(super) fn relayed_values(&self) -> Vec<proto::StoredValue> {
         let entries = self.entries.iter();
         let in_effect = entries.filter(|(_, entry)| !self.directory.is_deferred(&entry.server));
--- a/tests/testsuite/backends.rs
+++ b/tests/testsuite/backends.rs
@@ -157,8 +157,8 @@
     assert_eq!(ids(&directory), ["a"]);
 }
 
-/// Returns a directory that knew server `a` in a later state than its entry, at the time when the platform returned from
-/// a copy that has the entry.
+/// Returns a directory that knew server `a` in a later state than its entry, at the time when the platform returned
+/// from a copy that has the entry.
 fn restored(known: impl FnOnce(&mut Directory, Instant), now: Instant) -> Directory {
     let mut directory = Directory::new("here".into(), ENTRY_TTL);
     directory.on_entry(entry("a", "here"), now);
@@ -251,8 +251,8 @@
     assert!(ids(&directory).is_empty());
 }
 
-/// Guards against a server that registered again and is taken out of use by an instance that has not read this, and against
-/// a notice that concerns another incarnation.
+/// Guards against a server that registered again and is taken out of use by an instance that has not read this, and
+/// against a notice that concerns another incarnation.
 #[test]
 fn a_peer_defers_only_entries_that_no_change_confirmed() {
     let now = Instant::now();
@@ -299,8 +299,8 @@
     assert_eq!(directory.on_listed(entry("a", "here"), until), EntryChange::Deferred);
 }
 
-/// Guards against an earlier incarnation that replaces a restarted server, and against an entry that was removed after the
-/// restore and whose server registered again, which nothing contradicts.
+/// Guards against an earlier incarnation that replaces a restarted server, and against an entry that was removed after
+/// the restore and whose server registered again, which nothing contradicts.
 #[test]
 fn only_entries_from_before_the_restore_are_deferred() {
     let now = Instant::now();
--- a/tests/testsuite/dissemination.rs
+++ b/tests/testsuite/dissemination.rs
@@ -437,8 +437,8 @@
     assert!(cluster.in_effect.iter().flatten().all(|key| key.revision == 9));
 }
 
-/// Guards against a reader that waits for changes after a version that a restored platform has not reached again, so that
-/// each change takes effect only with the next read without a version.
+/// Guards against a reader that waits for changes after a version that a restored platform has not reached again, so
+/// that each change takes effect only with the next read without a version.
 #[test]
 fn a_reader_waits_from_the_version_of_a_restored_platform() {
     let mut cluster = Cluster::new(2);
--- a/tests/testsuite/history.rs
+++ b/tests/testsuite/history.rs
@@ -61,8 +61,8 @@
     assert!(bytes > 0 && bytes < FRAME_BYTES, "{bytes} bytes");
 }
 
-/// Guards against a follower that gets the changes of a later era as if they continued from its position. The ones up to
-/// that revision, which the platform gave out again, would be missing.
+/// Guards against a follower that gets the changes of a later era as if they continued from its position. The ones up
+/// to that revision, which the platform gave out again, would be missing.
 #[test]
 fn a_follower_from_an_earlier_era_gets_no_changes() {
     let mut history = History::default();
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -37,8 +37,8 @@
 /// Time since the start from which servers announce [`RATE_LIMIT`].
 const LIMITS_FROM: Duration = Duration::from_secs(1);
 
-/// Time after the announcement of a limit from which the number of requests is checked, and the span over which they are
-/// counted.
+/// Time after the announcement of a limit from which the number of requests is checked, and the span over which they
+/// are counted.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 
@@ -413,8 +413,8 @@
     }));
 }
 
-/// Guards against servers that get more requests than the rate limit which they announce for all instances together, and
-/// against requests that all go to the only other server of their shard.
+/// Guards against servers that get more requests than the rate limit which they announce for all instances together,
+/// and against requests that all go to the only other server of their shard.
 #[test]
 fn two_of_three_servers_limit_their_rate() {
     let reports = replay_seeds(|load| Load {
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -142,8 +142,8 @@
     assert!((1..=5).contains(&sent), "{sent} requests");
 }
 
-/// Guards against a response that was sent before the server announced a limit and ends it, and against a limit that stays
-/// after a later response without it.
+/// Guards against a response that was sent before the server announced a limit and ends it, and against a limit that
+/// stays after a later response without it.
 #[test]
 fn only_a_later_response_ends_a_limit() {
     let start = Instant::now();
