gateway: log the fingerprint of a request, and tell a crash from a lost answer

A caller's second try has another id, so the logs did not show that two failures belong to the same request, and a broken connection looked the same whether the server crashed, lost the answer or closed an idle connection.

Each line about a request now has a hash of its content. After a server disconnects early, a new connection is opened: if the server refuses it, the attempt ends as crashed. An accepted connection is kept for the next request.

Ruled out: waiting for the platform to remove the entry, which takes three heartbeats, and counting refused connections of later requests, of which an instance of a large fleet sees too few.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time and is reused while the server keeps it open. After any error it is
 //! closed and not reused. See "Forwarding" in `docs/design/platform.md`.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -46,6 +47,12 @@
 /// accept within it is treated as down.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum time of [`UpstreamPool::is_refusing`]. It covers a few round trips between data centres.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time for which a connection that was opened as a check may be used, since the idle timeout of the server is not known.
+const CHECKED_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Margin before the keep-alive timeout given by the server within which an idle connection is no longer used, so that
 /// no request is sent while the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -111,9 +118,12 @@
     /// The deadline passed before the request was sent.
     #[error("the deadline passed before the request was sent")]
     NoTimeLeft,
-    /// The connection failed, or the response is malformed or too large. The request may have run.
+    /// The response is malformed or too large. The request may have run.
     #[error("connection failed: {0}")]
     Broken(Box<str>),
+    /// The server closed or reset the connection before the end of the response. The request may have run.
+    #[error("the server disconnected: {0}")]
+    Disconnected(Box<str>),
     /// The response belongs to another request. The request may have run.
     #[error("the response belongs to another request")]
     WrongResponse,
@@ -238,14 +248,40 @@
         Ok(response)
     }
 
-    /// Reserves a connection. Returns an idle one, or `None` if a new one must be opened.
-    fn acquire(&self) -> Result<(BusyGuard<'_>, Option<Sender>), ExchangeError> {
-        let now = Instant::now();
+    /// Opens a connection after one ended early, and returns whether the server refused it, as it does when its process
+    /// has ended. A connection that is accepted is kept for the next request.
+    pub async fn is_refusing(&self) -> bool {
+        let Ok(_busy) = self.reserve() else { return false };
+        match self.open(Instant::now() + CHECK_TIMEOUT).await {
+            Ok(sender) => {
+                let usable_until = Instant::now() + CHECKED_IDLE_TIMEOUT;
+                self.lock().idle.push(IdleConnection { sender, usable_until });
+                false
+            }
+            Err(ExchangeError::Connect(error)) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+            ),
+            Err(_) => false,
+        }
+    }
+
+    /// Counts a connection as busy, if the limit allows it.
+    fn reserve(&self) -> Result<BusyGuard<'_>, ExchangeError> {
         let mut connections = self.lock();
         if connections.busy >= connections.limit {
             return Err(ExchangeError::NoConnection);
         }
         connections.busy += 1;
+        drop(connections);
+        Ok(BusyGuard(self))
+    }
+
+    /// Reserves a connection. Returns an idle one, or `None` if a new one must be opened.
+    fn acquire(&self) -> Result<(BusyGuard<'_>, Option<Sender>), ExchangeError> {
+        let busy = self.reserve()?;
+        let now = Instant::now();
+        let mut connections = self.lock();
         connections
             .idle
             .retain(|idle| idle.usable_until > now && !idle.sender.requests.is_closed());
@@ -256,7 +292,7 @@
             .rposition(|idle| idle.sender.requests.is_ready());
         let sender = usable.map(|ix| connections.idle.remove(ix).sender);
         drop(connections);
-        Ok((BusyGuard(self), sender))
+        Ok((busy, sender))
     }
 
     async fn open(&self, deadline: Instant) -> Result<Sender, ExchangeError> {
@@ -324,7 +360,27 @@
 }
 
 fn broken_connection(error: &hyper::Error) -> ExchangeError {
-    ExchangeError::Broken(error.to_string().into())
+    let reason = error.to_string().into();
+    if error.is_incomplete_message() || is_disconnect(error) {
+        ExchangeError::Disconnected(reason)
+    } else {
+        ExchangeError::Broken(reason)
+    }
+}
+
+/// Returns whether an error was caused by the end of the connection.
+fn is_disconnect(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+            );
+        }
+        cause = error.source();
+    }
+    false
 }
 
 fn requests_close(headers: &HeaderMap) -> bool {
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -110,7 +110,12 @@
         if let Ok(response) = &response {
             self.apply_notices(response);
         }
-        let classified = self.classify(response);
+        let is_disconnected = matches!(response, Err(ExchangeError::Disconnected(_)));
+        let mut classified = self.classify(response);
+        if is_disconnected && self.context.server.pool.is_refusing().await {
+            classified.outcome = AttemptOutcome::Crashed;
+            self.context.server.state().on_failure(Instant::now());
+        }
         let is_extra = matches!(self.send.cause, Cause::Hedge | Cause::Retry);
         if classified.outcome == AttemptOutcome::Unsent && is_extra {
             let now = Instant::now();
@@ -166,7 +171,9 @@
                 let is_unsent = error.is_unsent();
                 match error {
                     ExchangeError::NoConnection | ExchangeError::NoTimeLeft => {}
-                    ExchangeError::Broken(_) | ExchangeError::WrongResponse => state.on_connection_broken(now),
+                    ExchangeError::Broken(_) | ExchangeError::Disconnected(_) | ExchangeError::WrongResponse => {
+                        state.on_connection_broken(now);
+                    }
                     ExchangeError::Connect(_) => state.on_failure(now),
                     ExchangeError::TimedOut => {
                         state.on_failure(now);
@@ -279,6 +286,7 @@
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::NotRun => "not_run",
             AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Crashed => "crashed",
         };
         let cause = self.send.cause.as_str();
         let labels = AttemptLabels { cause, ending };
@@ -287,6 +295,7 @@
             && gateway.log_quota.allow(&gateway.log, LogTopic::Failure)
         {
             info!(gateway.log, "attempt"; "id" => self.context.id.to_str().ok(),
+                "fingerprint" => %self.context.outgoing.fingerprint,
                 "server" => &*self.context.server.entry.id, "service" => &*self.context.service, "cause" => cause,
                 "ending" => ending, "reason" => &**reason);
         }
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -291,7 +291,8 @@
         if !gateway.log_quota.allow(&gateway.log, topic) {
             return;
         }
-        info!(gateway.log, "request"; "id" => self.id.to_str().ok(), "outcome" => outcome,
+        info!(gateway.log, "request"; "id" => self.id.to_str().ok(),
+            "fingerprint" => %self.outgoing.fingerprint, "outcome" => outcome,
             "status" => status.map(|status| status.as_u16()), "route" => &*self.route.name,
             "revision" => self.effective.routing.revision, "read_age_ms" => gateway.read_age_ms(),
             "ms" => elapsed.as_millis() as u64, "usual_ms" => self.usual().as_millis() as u64,
--- a/src/process/gateway/head.rs
+++ b/src/process/gateway/head.rs
@@ -11,12 +11,14 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use http::request::Parts;
 use http_body_util::Full;
 
 use crate::process::backends::rate_limit;
 use crate::process::backends::rate_limit::LimitNotice;
 use crate::process::backends::retry_after;
 use crate::process::backends::server_state::LoadFigures;
+use crate::request::fingerprint::Fingerprint;
 
 /// Names of the headers that a platform uses between callers, gateways and backend servers.
 #[derive(Debug, Clone)]
@@ -63,9 +65,25 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl OutgoingRequest {
+    /// Builds the outgoing request from the request of a caller. The path and query stay unchanged.
+    pub(crate) fn new(head: Parts, body: Bytes) -> Self {
+        let fingerprint = Fingerprint::of(&head.method, &head.uri, &head.headers, &body);
+        let mut headers = head.headers;
+        strip_connection_headers(&mut headers);
+        let target = head.uri.path_and_query().cloned();
+        Self {
+            method: head.method,
+            uri: target.map_or_else(Uri::default, Uri::from),
+            headers,
+            body,
+            fingerprint,
+        }
+    }
+
     /// Builds the request of one attempt.
     pub(crate) fn to_request(&self, names: &HeaderNames, server: &str, remaining: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -28,7 +28,7 @@
 pub(crate) struct AttemptLabels {
     /// `first`, `hedge`, `retry` or `resend`.
     pub(crate) cause: &'static str,
-    /// `answered`, `not_run`, `failed` or `unsent`.
+    /// `answered`, `not_run`, `failed`, `crashed` or `unsent`.
     pub(crate) ending: &'static str,
 }
 
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -140,21 +140,8 @@
             .mul_f64(rand::rng().random_range(OVERLOAD_RETRY_SHARES));
         return Err(Refusal::new("turned_away", answer::not_run(text, after)));
     }
-    let mut headers = head.headers;
-    head::strip_connection_headers(&mut headers);
-    let outgoing = OutgoingRequest {
-        method: head.method,
-        uri: path_only(&head.uri),
-        headers,
-        body,
-    };
+    let outgoing = OutgoingRequest::new(head, body);
     Ok(Forwarding::new(
         gateway, effective, route, outgoing, id, started, time_limit,
     ))
 }
-
-/// Returns only the path and query, unchanged.
-fn path_only(uri: &http::Uri) -> http::Uri {
-    let path = uri.path_and_query().cloned();
-    path.map_or_else(http::Uri::default, http::Uri::from)
-}
--- a/src/request.rs
+++ b/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod coverage;
 pub mod fanout;
+pub mod fingerprint;
 pub mod merge;
 pub mod plan;
 pub mod query;
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -114,6 +114,8 @@
     NotRun,
     /// The attempt failed and may have run.
     Failed,
+    /// The server disconnected during the attempt and accepts no connections any more. The attempt may have run.
+    Crashed,
 }
 
 /// Reason why a part was given up.
@@ -391,7 +393,7 @@
             AttemptOutcome::Unsent => {}
             AttemptOutcome::NotRun => state.reached_server = true,
             // Counted for given-up parts too, since they may have run as well.
-            AttemptOutcome::Answered | AttemptOutcome::Failed => {
+            AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Crashed => {
                 state.reached_server = true;
                 state.possible_runs += 1;
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod drain;
 mod extra;
 mod fanout;
+mod fingerprint;
 mod fleet;
 mod gateway_lines;
 mod gossip;
