fanout: hedge one part at a time until a part is answered

A request that crashes its servers takes longer than usual to do so. All parts of a search were hedged after the 90th percentile of the latency, before the first crash, so the first search alone crashed two servers of each shard.

Parts of a search that has no answer yet are now hedged one at a time, one for each hedge interval. The first answer releases the others. If servers are silent instead, the first hedge shows it after the latency of one answer.

Ruled out: no hedges before the first answer (all servers of the own data centre may be silent), and cancelling the parts that are in flight at the first crash (a server that has begun crashes anyway).

--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -5,6 +5,8 @@
 //!
 //! * One server is paused or slow: the part is hedged on another server once it takes longer than nine attempts in ten
 //!   do, if the budget for extra attempts allows it.
+//! * No part is answered for as long: parts are hedged one at a time until one is answered. The request itself may be the
+//!   reason, and if it crashes servers, each hedge costs one.
 //! * No server of a shard answers: the answer is sent without the shard at the end of the objective, or at once if no
 //!   attempt of the shard is in flight.
 //! * Servers of several shards failed recently, so an answer depends on their recovery: their parts are sent first, and
@@ -175,6 +177,8 @@
     end: Instant,
     /// Time until which the remaining parts wait for the probes.
     probe_deadline: Option<Instant>,
+    /// Time from which another part may be hedged although no part has an answer.
+    next_hedge: Option<Instant>,
     done: usize,
     missing: usize,
     last_failure: PartFailure,
@@ -200,6 +204,7 @@
             answer_by: now + limits.objective.saturating_sub(ANSWER_MARGIN.min(limits.objective / 4)),
             end: now + limits.time_limit.saturating_sub(margin),
             probe_deadline: None,
+            next_hedge: None,
             done: 0,
             missing: 0,
             last_failure: PartFailure::NoServer,
@@ -283,9 +288,16 @@
                 }
                 continue;
             };
+            if cause == Cause::Hedge && self.done == 0 && self.next_hedge.is_some_and(|next| now < next) {
+                self.parts[ix].check_at = now + RECHECK_INTERVAL;
+                continue;
+            }
             let choice = choose(ix, cause, &part.tried);
             match choice {
                 ServerChoice::Send(server, check) | ServerChoice::Probe(server, check) => {
+                    if cause == Cause::Hedge {
+                        self.next_hedge = Some(now + check);
+                    }
                     let part = &mut self.parts[ix];
                     part.is_probe = matches!(choice, ServerChoice::Probe(..));
                     part.tried.push(server);
--- a/tests/testsuite/fanout.rs
+++ b/tests/testsuite/fanout.rs
@@ -347,3 +347,19 @@
             }
         });
 }
+
+/// Guards against hedges of all parts at once while none is answered. If the request itself crashes servers, that would
+/// crash a second one of each shard before the first crash is noticed.
+#[test]
+fn parts_are_hedged_one_at_a_time_until_one_is_answered() {
+    let now = Instant::now();
+    let mut fanout = Fanout::new(search(), now);
+    assert_eq!(fanout.advance(now, first_untried).len(), 10);
+    let hedges = fanout.advance(now + ms(30), first_untried);
+    assert_eq!(hedges.len(), 1);
+    assert!(fanout.advance(now + ms(40), first_untried).is_empty());
+    assert_eq!(fanout.advance(now + ms(61), first_untried).len(), 1);
+    // An answer shows that the servers are to blame, so all other parts are hedged.
+    answer(&mut fanout, [hedges[0].part], now + ms(62));
+    assert_eq!(fanout.advance(now + ms(66), first_untried).len(), 8);
+}
