--- a/crates/wire-gen/src/main.rs
+++ b/crates/wire-gen/src/main.rs
@@ -16,6 +16,8 @@
         .with_context(|| format!("cannot compile {SCHEMA}; run wire-gen in the workspace root"))?;
     prost_build::Config::new()
         .bytes(["."])
+        // Much larger than the others, and rare.
+        .boxed(".pimento.Frame.body.roster")
         .out_dir(Path::new(OUTPUT))
         .compile_fds(files)
         .with_context(|| format!("cannot write generated code to {OUTPUT}"))
--- a/src/process.rs
+++ b/src/process.rs
@@ -26,6 +26,7 @@
 pub mod peers;
 pub mod platform;
 pub mod program;
+pub mod quarantine;
 pub mod replicas;
 pub mod settings;
 pub mod stop;
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -19,6 +19,7 @@
 mod request;
 mod roster_exchange;
 mod settings;
+mod suspects;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -31,6 +32,7 @@
 use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use rand::Rng;
 use slog::Logger;
 use slog::info;
 use tokio::sync::Notify;
@@ -62,6 +64,7 @@
 use crate::process::http::HttpLimits;
 use crate::process::isolation::Isolation;
 use crate::process::latency::LatencyHistogram;
+use crate::process::quarantine::Quarantine;
 use crate::process::throttle::Throttle;
 use crate::version::routing::CallerLimits;
 use crate::version::routing::Routing;
@@ -107,6 +110,9 @@
     /// Memory budget for the response bodies of all backend servers.
     pub(crate) body_memory: BodyMemory,
     log_quota: LogQuota,
+    quarantine: Mutex<Quarantine>,
+    /// Wakes the task that sends news about requests that crash servers.
+    quarantine_changed: Notify,
     isolation: Mutex<Isolation>,
     /// Wakes the task that checks whether the data centre is isolated.
     isolation_suspected: Notify,
@@ -166,6 +172,8 @@
             in_flight: AtomicUsize::new(0),
             body_memory: BodyMemory::default(),
             log_quota: LogQuota::new(Instant::now()),
+            quarantine: Mutex::new(Quarantine::new(rand::rng().random())),
+            quarantine_changed: Notify::new(),
             isolation: Mutex::default(),
             isolation_suspected: Notify::new(),
             read_request: Notify::new(),
--- a/src/process/gateway/attempt.rs
+++ b/src/process/gateway/attempt.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -53,6 +55,10 @@
     pub(super) limits: ExtraLimits,
     /// Whether the response is one part of a merged answer. Only successful parts can be merged.
     pub(super) is_part: bool,
+    /// Whether the request is a trial of one that may crash servers.
+    pub(super) is_trial: bool,
+    /// Whether any server has answered the request.
+    pub(super) is_answered: Arc<AtomicBool>,
 }
 
 /// Attempt in flight at one server. Dropping it before it ends records it as abandoned.
@@ -116,6 +122,7 @@
             classified.outcome = AttemptOutcome::Crashed;
             self.context.server.state().on_failure(Instant::now());
         }
+        self.report_evidence(classified.outcome);
         let is_extra = matches!(self.send.cause, Cause::Hedge | Cause::Retry);
         if classified.outcome == AttemptOutcome::Unsent && is_extra {
             let now = Instant::now();
@@ -278,6 +285,24 @@
         }
     }
 
+    /// Reports whether the request may be the cause of a crash. One that a server has answered is not.
+    fn report_evidence(&self, outcome: AttemptOutcome) {
+        let context = &self.context;
+        let request = context.outgoing.fingerprint;
+        let now = Instant::now();
+        match outcome {
+            AttemptOutcome::Answered => {
+                context.is_answered.store(true, Ordering::Relaxed);
+                context.gateway.on_answer(request, now);
+            }
+            AttemptOutcome::Crashed if !context.is_answered.load(Ordering::Relaxed) => {
+                let server = &context.server.entry;
+                context.gateway.on_crash(request, server, context.is_trial, now);
+            }
+            AttemptOutcome::Crashed | AttemptOutcome::Failed | AttemptOutcome::NotRun | AttemptOutcome::Unsent => {}
+        }
+    }
+
     /// Counts the result, and logs it if the attempt failed.
     fn report(&self, classified: &Classified) {
         let gateway = &self.context.gateway;
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +20,7 @@
 use crate::connection::upstream::Response;
 use crate::ids::ServiceId;
 use crate::process::backends::Backend;
+use crate::process::backends::View;
 use crate::process::backends::choice;
 use crate::process::backends::choice::ProbeBudget;
 use crate::process::backends::selection;
@@ -42,6 +45,7 @@
 use crate::request::fanout::Limits;
 use crate::request::fanout::PartFailure;
 use crate::request::fanout::PartSend;
+use crate::request::fanout::ServerChoice;
 use crate::request::fanout::ServerIndex;
 use crate::version::routing::Route;
 use crate::version::routing::ShardSet;
@@ -62,6 +66,17 @@
 /// fail most requests.
 const MAX_LOGGED_PARTS: usize = 3;
 
+/// Request that was read completely and may be sent.
+pub(super) struct AdmittedRequest {
+    pub(super) outgoing: OutgoingRequest,
+    pub(super) id: HeaderValue,
+    pub(super) started: Instant,
+    /// Time from the start until the caller's deadline.
+    pub(super) time_limit: Duration,
+    /// Whether the request may crash the servers that run it, so that it runs at a single one first.
+    pub(super) is_trial: bool,
+}
+
 /// Request in progress with the inputs of its attempts.
 pub(super) struct Forwarding {
     gateway: Arc<Gateway>,
@@ -81,7 +96,12 @@
     forwardable: Option<Response>,
     /// Attempts and the times after the start at which they were sent, for the log.
     sent: Vec<(PartSend, Duration)>,
-    is_answered: bool,
+    /// Number of attempts during which the server crashed.
+    crashes: u32,
+    /// Whether any server has answered.
+    has_answer: Arc<AtomicBool>,
+    is_trial: bool,
+    is_finished: bool,
 }
 
 impl Forwarding {
@@ -89,11 +109,15 @@
         gateway: &Arc<Gateway>,
         effective: Arc<EffectiveState>,
         route: Arc<Route>,
-        outgoing: OutgoingRequest,
-        id: HeaderValue,
-        started: Instant,
-        time_limit: Duration,
+        request: AdmittedRequest,
     ) -> Self {
+        let AdmittedRequest {
+            outgoing,
+            id,
+            started,
+            time_limit,
+            is_trial,
+        } = request;
         let services: Vec<ServiceId> = match &route.target {
             Target::Single(service) => vec![service.clone()],
             Target::Split(split) => split.next_service().cloned().into_iter().collect(),
@@ -114,6 +138,7 @@
             repeatable: route.idempotent,
             objective: route.target_latency,
             time_limit,
+            trial: is_trial.then(|| most_available(&effective.view, &services, started)),
         };
         let latencies = gateway.latencies(&route.name);
         let summary = latencies.lock().unwrap_or_else(PoisonError::into_inner).summary();
@@ -131,7 +156,10 @@
             probes: ProbeBudget::default(),
             forwardable: None,
             sent: Vec::new(),
-            is_answered: false,
+            crashes: 0,
+            has_answer: Arc::default(),
+            is_trial,
+            is_finished: false,
             route,
         }
     }
@@ -140,6 +168,11 @@
         let mut running: FuturesUnordered<BoxFuture<'static, AttemptResult>> = FuturesUnordered::new();
         let decision = loop {
             let now = Instant::now();
+            if self.is_likely_cause() {
+                self.fanout.abort();
+                // Servers drop a request whose connection closes, so those that have not crashed yet may be spared.
+                running.clear();
+            }
             let sends = self.advance(now);
             let decision = self.fanout.decision(now);
             for send in sends {
@@ -161,7 +194,27 @@
         self.finish(decision)
     }
 
+    /// Returns whether servers crashed during this request and during others like it, and none has answered.
+    fn is_likely_cause(&self) -> bool {
+        self.crashes > 0 && !self.fanout.has_answer() && self.gateway.is_suspected(self.outgoing.fingerprint)
+    }
+
+    /// Returns the choice for a part if it may not be sent at the moment. Until one server has answered a request, crashes
+    /// during it or during others like it suggest that it crashes all servers.
+    fn restraint(&self) -> Option<ServerChoice> {
+        if self.is_trial || self.fanout.has_answer() {
+            return None;
+        }
+        let is_suspected = self.gateway.is_suspected(self.outgoing.fingerprint);
+        match (is_suspected, self.crashes > 0, self.fanout.awaits_answer()) {
+            (true, _, true) | (_, true, true) => Some(ServerChoice::Hold),
+            (true, _, false) => Some(ServerChoice::NoServer),
+            (false, _, _) => None,
+        }
+    }
+
     fn advance(&mut self, now: Instant) -> Vec<PartSend> {
+        let restraint = self.restraint();
         let hedge_after = latency::hedge_after(self.summary, self.route.target_latency);
         let answer_by = self.started + self.route.target_latency;
         let gateway = &self.gateway;
@@ -172,6 +225,9 @@
         let mut rng = rand::rng();
         let probes = &mut self.probes;
         self.fanout.advance(now, |part, cause, tried| {
+            if let Some(restraint) = restraint {
+                return restraint;
+            }
             let service = &services[part];
             let request = choice::AttemptRequest {
                 servers: view.servers(service),
@@ -222,11 +278,14 @@
             deadline: self.fanout.end(),
             limits: self.effective.extra,
             is_part: matches!(self.route.target, Target::Shards(_)),
+            is_trial: self.is_trial,
+            is_answered: Arc::clone(&self.has_answer),
         };
         Attempt::begin(context, send, self.usual(), self.summary, now)
     }
 
     fn on_attempt_end(&mut self, result: AttemptResult) {
+        self.crashes += u32::from(result.outcome == AttemptOutcome::Crashed);
         let is_used = self.fanout.on_attempt_end(result.part, result.outcome, Instant::now());
         let Some(response) = result.response else { return };
         if !is_used {
@@ -247,7 +306,7 @@
     }
 
     fn finish(mut self, decision: Decision) -> CallerAnswer {
-        self.is_answered = true;
+        self.is_finished = true;
         let missing = self.fanout.missing();
         let (outcome, answer) = match decision {
             Decision::Answer => match &self.route.target {
@@ -416,6 +475,18 @@
     }
 }
 
+/// Returns the part whose service has the most available servers, which loses the least by the crash of one.
+fn most_available(view: &View, services: &[ServiceId], now: Instant) -> usize {
+    let available = |service: &ServiceId| {
+        let servers = view.servers(service).iter();
+        servers.filter(|server| !server.state().is_avoided(now)).count()
+    };
+    let parts = services.iter().enumerate();
+    parts
+        .max_by_key(|(_, service)| available(service))
+        .map_or(0, |(part, _)| part)
+}
+
 /// Waits for attempts that are no longer needed, up to [`LINGER_TIME`], so that their connections stay usable and their
 /// results count in the statistics of the servers.
 async fn finish_remaining(mut running: FuturesUnordered<BoxFuture<'static, AttemptResult>>) {
@@ -425,8 +496,11 @@
 
 impl Drop for Forwarding {
     fn drop(&mut self) {
-        if !self.is_answered {
+        if !self.is_finished {
             self.report("caller_left", None);
         }
+        if (self.is_trial || self.crashes > 0) && !self.has_answer.load(Ordering::Relaxed) {
+            self.gateway.on_unanswered(self.outgoing.fingerprint, self.is_trial);
+        }
     }
 }
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -18,8 +18,8 @@
 pub(crate) struct RouteLabels {
     /// Service of the request, or that of the first shard; empty if the request was not forwarded.
     pub(crate) service: String,
-    /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `caller_left`, `turned_away`, `starting`,
-    /// `no_route` or `malformed`.
+    /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `caller_left`, `turned_away`,
+    /// `quarantined`, `starting`, `no_route` or `malformed`.
     pub(crate) outcome: &'static str,
 }
 
@@ -40,6 +40,13 @@
     pub(crate) notice: &'static str,
 }
 
+/// Labels of an event about a request under which servers crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SuspectLabels {
+    /// `suspected`, `trial`, `cleared` or `quarantined`.
+    pub(crate) event: &'static str,
+}
+
 /// Metrics of a gateway.
 #[derive(Clone)]
 pub(crate) struct GatewayMetrics {
@@ -50,6 +57,9 @@
     pub(crate) notices: Family<NoticeLabels, Counter>,
     /// Number of backend servers that have a rate limit.
     pub(crate) limited_servers: Gauge,
+    pub(crate) suspects: Family<SuspectLabels, Counter>,
+    /// Number of requests that are refused because they crash servers.
+    pub(crate) quarantined_requests: Gauge,
     pub(crate) revision: Gauge,
     /// Seconds for which the newest change of the platform has not been reached; 0 when the state is current.
     pub(crate) platform_lag: Gauge<f64, AtomicU64>,
@@ -74,6 +84,8 @@
             denied_extras: Counter::default(),
             notices: Family::default(),
             limited_servers: Gauge::default(),
+            suspects: Family::default(),
+            quarantined_requests: Gauge::default(),
             revision: Gauge::default(),
             platform_lag: Gauge::default(),
             platform_era: Gauge::default(),
@@ -98,6 +110,16 @@
             "Backend servers that have a rate limit",
             metrics.limited_servers.clone(),
         );
+        registry.register(
+            "suspect_requests",
+            "Requests under which servers crashed: suspected, run as a trial, cleared by an answer, or quarantined",
+            metrics.suspects.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Requests that are refused because they crash servers",
+            metrics.quarantined_requests.clone(),
+        );
         registry.register("revision", "Configuration revision in effect", metrics.revision.clone());
         registry.register(
             "platform_lag_seconds",
@@ -121,6 +143,10 @@
         self.notices.get_or_create(&NoticeLabels { notice }).inc();
     }
 
+    pub(crate) fn count_suspect(&self, event: &'static str) {
+        self.suspects.get_or_create(&SuspectLabels { event }).inc();
+    }
+
     pub(crate) fn record_request(&self, service: &str, outcome: &'static str, latency: Duration) {
         let labels = RouteLabels {
             service: service.into(),
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -34,6 +34,7 @@
 use crate::process::gateway::rate_limits;
 use crate::process::gateway::reachability;
 use crate::process::gateway::roster_exchange;
+use crate::process::gateway::suspects;
 use crate::process::gossip::InstanceCount;
 use crate::process::http::Handler;
 use crate::process::http::HttpLimits;
@@ -174,6 +175,7 @@
         SmallRng::from_rng(&mut rng),
     ));
     tasks.spawn(reachability::watch(Arc::clone(&gateway)));
+    tasks.spawn(suspects::send_news(Arc::clone(&gateway)));
     tasks.spawn(rate_limits::report(Arc::clone(&gateway)));
     let client = FollowingClient::new(client, Arc::clone(&gateway));
     tasks.spawn(discovery::run(client, Arc::clone(&gateway), rng));
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -19,10 +19,13 @@
 use crate::process::gateway::STARTING_RETRY;
 use crate::process::gateway::answer;
 use crate::process::gateway::answer::CallerAnswer;
+use crate::process::gateway::forwarding::AdmittedRequest;
 use crate::process::gateway::forwarding::Forwarding;
 use crate::process::gateway::head;
 use crate::process::gateway::head::OutgoingRequest;
 use crate::process::gateway::log_quota::LogTopic;
+use crate::process::quarantine::Admission;
+use crate::request::fingerprint::Fingerprint;
 
 /// `Retry-After` time of requests that were turned away, as the range of shares of the objective from which it is
 /// drawn. The admitted share changes within that time.
@@ -56,6 +59,7 @@
     gateway.metrics.record_request("", refusal.outcome, started.elapsed());
     if gateway.log_quota.allow(&gateway.log, LogTopic::Failure) {
         info!(gateway.log, "request"; "id" => id.as_ref().and_then(|id| id.to_str().ok()),
+            "fingerprint" => refusal.fingerprint.map(|fingerprint| fingerprint.to_string()),
             "outcome" => refusal.outcome, "status" => refusal.answer.status().as_u16(),
             "revision" => gateway.effective.load().as_ref().map(|now| now.routing.revision),
             "read_age_ms" => gateway.read_age_ms());
@@ -67,11 +71,17 @@
 struct Refusal {
     outcome: &'static str,
     answer: CallerAnswer,
+    /// Known if the whole request was read.
+    fingerprint: Option<Fingerprint>,
 }
 
 impl Refusal {
     const fn new(outcome: &'static str, answer: CallerAnswer) -> Self {
-        Self { outcome, answer }
+        Self {
+            outcome,
+            answer,
+            fingerprint: None,
+        }
     }
 }
 
@@ -141,7 +151,22 @@
         return Err(Refusal::new("turned_away", answer::not_run(text, after)));
     }
     let outgoing = OutgoingRequest::new(head, body);
-    Ok(Forwarding::new(
-        gateway, effective, route, outgoing, id, started, time_limit,
-    ))
+    let is_trial = match gateway.admit_request(outgoing.fingerprint, Instant::now()) {
+        Admission::Run => false,
+        Admission::Trial => true,
+        Admission::Refuse(time) => {
+            let text = "backend servers crashed while they ran this request before; it has not run\n";
+            let mut refusal = Refusal::new("quarantined", answer::not_run(text, time));
+            refusal.fingerprint = Some(outgoing.fingerprint);
+            return Err(refusal);
+        }
+    };
+    let request = AdmittedRequest {
+        outgoing,
+        id,
+        started,
+        time_limit,
+        is_trial,
+    };
+    Ok(Forwarding::new(gateway, effective, route, request))
 }
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -77,6 +77,7 @@
             revision: self.may_lack_state(&platform.directory).then_some(revision),
             configuration: needs_configuration.then(|| platform.relayed_configuration()).flatten(),
             outdated: outdated.unwrap_or_default(),
+            suspects: self.suspect_reports(now),
         }
     }
 
@@ -92,6 +93,7 @@
             self.on_instances(before, count);
         }
         self.on_peer_limits(&roster.limits, now);
+        self.on_peer_suspects(&roster.suspects, now);
         let position = roster_position(&roster);
         if let Some(stored) = roster.configuration {
             self.on_relayed_configuration(stored.into());
@@ -118,6 +120,7 @@
             self.on_instances(before, count);
         }
         self.update_limit_shares();
+        self.expire_suspects(Instant::now());
         next
     }
 
@@ -158,9 +161,9 @@
 async fn exchange(gateway: &Gateway, partner: SocketAddr) -> Result<(), ExchangeError> {
     let stream = TcpStream::connect(partner).await?;
     let mut framed = Framed::new(stream, FrameCodec::new());
-    framed.send(Body::Roster(gateway.roster(None))).await?;
+    framed.send(Body::Roster(Box::new(gateway.roster(None)))).await?;
     match framed.next().await {
-        Some(Ok(Body::Roster(roster))) => gateway.on_roster(roster),
+        Some(Ok(Body::Roster(roster))) => gateway.on_roster(*roster),
         Some(Err(error)) => return Err(error.into()),
         Some(Ok(_)) | None => return Err(ExchangeError::Closed),
     }
@@ -186,7 +189,7 @@
     }
 }
 
-/// Serves a single roster exchange, or all requests of an instance that follows this one.
+/// Serves a single roster exchange, takes news about requests, or serves all requests of an instance that follows this one.
 async fn reply(gateway: &Gateway, stream: TcpStream) -> Result<(), ExchangeError> {
     let mut framed = Framed::new(stream, FrameCodec::new());
     loop {
@@ -197,8 +200,12 @@
         let (reply, is_last) = match request? {
             Body::Roster(request) => {
                 let roster = gateway.roster(Some(&request));
-                gateway.on_roster(request);
-                (Body::Roster(roster), true)
+                gateway.on_roster(*request);
+                (Body::Roster(Box::new(roster)), true)
+            }
+            Body::Suspects(suspects) => {
+                gateway.on_peer_suspects(&suspects.requests, Instant::now());
+                return Ok(());
             }
             Body::Follow(request) => (Body::Followed(followers::serve(gateway, request).await), false),
             _ => return Err(ExchangeError::Closed),
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 
 use crate::ids::DataCentreId;
 use crate::ids::InstanceId;
@@ -223,6 +224,13 @@
         own.map_or(0.0, |(_, share)| share)
     }
 
+    /// Returns the addresses of up to `count` other instances, chosen at random.
+    #[must_use]
+    pub fn random_members(&self, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let addresses = self.members.values().map(|member| member.address);
+        addresses.choose_multiple(rng, count)
+    }
+
     /// Returns addresses of a few instances in each of a few other data centres.
     #[must_use]
     pub fn remote_instances(&self) -> Vec<SocketAddr> {
--- /dev/null
+++ b/src/process/quarantine.rs
@@ -0,0 +1,234 @@
+//! Requests that crash the backend servers that run them, and how to treat such a request when it comes again.
+//!
+//! Servers crash for many reasons, and requests that were running at the time are lost together with the one that is to
+//! blame. Three facts tell them apart:
+//!
+//! * A request that was answered by any server is not to blame. This clears most requests at once, since a search goes
+//!   to many servers and a repeated request to another one.
+//! * A request under which two servers crashed, and that none answered, is suspected. The next time that it comes, it is
+//!   run at a single server as a trial; meanwhile its other arrivals are refused. An answer clears it.
+//! * A request whose trial crashed the server as well is in quarantine: it is refused until the next trial is due, after
+//!   two seconds at first and after minutes once a second trial has failed. The crashes that it caused no longer count
+//!   against other requests.
+//!
+//! Each instance sees only a part of the crashes, so instances exchange [`report`]s. See "Requests that crash servers" in
+//! `docs/design/platform.md`.
+
+mod record;
+pub mod report;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::process::quarantine::record::Record;
+use crate::request::fingerprint::Fingerprint;
+
+/// Maximum number of requests about which evidence is kept, 1 KB each at most.
+pub const MAX_RECORDS: usize = 1024;
+
+/// `Retry-After` time of a request that comes during a trial of it.
+const TRIAL_RETRY: Duration = Duration::from_millis(200);
+
+/// Time for which evidence is kept after the last event. It exceeds the longest quarantine.
+const RECORD_TTL: Duration = Duration::from_secs(1800);
+
+/// Identifies one incarnation of a backend server at all instances.
+pub type ServerKey = u64;
+
+/// How to treat a request that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Run it as any other.
+    Run,
+    /// Run it at one server, and go on only if that one answers.
+    Trial,
+    /// Refuse it, with this time until its next arrival may be admitted.
+    Refuse(Duration),
+}
+
+/// Change of what is believed of a request, for the log and the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Enough servers have crashed for the next run to be a trial.
+    Suspected,
+    /// A trial crashed its server, so the request is refused for this time.
+    Quarantined(Duration),
+    /// A server answered the request.
+    Cleared,
+}
+
+/// Evidence about requests under which servers crashed.
+#[derive(Debug)]
+pub struct Quarantine {
+    records: IndexMap<Fingerprint, Record>,
+    /// Requests about which other instances have to be told.
+    news: IndexSet<Fingerprint>,
+    /// Share by which this instance delays later trials, from 0 to 1. Instances differ in it, so that mostly one of them
+    /// makes the trial and tells the others its result.
+    trial_delay: f64,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine. `trial_delay`, from 0 to 1, should differ between instances.
+    #[must_use]
+    pub fn new(trial_delay: f64) -> Self {
+        Self {
+            records: IndexMap::new(),
+            news: IndexSet::new(),
+            trial_delay: trial_delay.clamp(0.0, 1.0),
+        }
+    }
+
+    /// Returns whether there is no evidence about any request, as is usual.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the number of requests about which there is evidence.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns the number of requests that are refused at `now`.
+    #[must_use]
+    pub fn quarantined(&self, now: Instant) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| record.refused_until(self.trial_delay).is_some_and(|until| now < until))
+            .count()
+    }
+
+    /// Decides how to treat a request that arrives. The caller reports the end of a trial by
+    /// [`Quarantine::on_trial_end`] if the server neither answered nor crashed.
+    pub fn admit(&mut self, request: Fingerprint, now: Instant) -> Admission {
+        let Some(record) = self.records.get_mut(&request) else {
+            return Admission::Run;
+        };
+        if let Some(until) = record.refused_until(self.trial_delay).filter(|until| now < *until) {
+            return Admission::Refuse(until.saturating_duration_since(now));
+        }
+        if !record.is_suspected() {
+            return Admission::Run;
+        }
+        if record.is_in_trial(now) {
+            return Admission::Refuse(TRIAL_RETRY);
+        }
+        record.begin_trial(now);
+        record.is_shared = true;
+        self.news.insert(request);
+        Admission::Trial
+    }
+
+    /// Returns whether a request must not be sent to further servers unless one has answered it.
+    #[must_use]
+    pub fn is_suspected(&self, request: Fingerprint) -> bool {
+        self.records.get(&request).is_some_and(Record::is_suspected)
+    }
+
+    /// Records that a server crashed while it ran a request that no server has answered.
+    pub fn on_crash(
+        &mut self,
+        request: Fingerprint,
+        server: ServerKey,
+        is_trial: bool,
+        now: Instant,
+    ) -> Option<Change> {
+        if self.is_explained(server, request) {
+            return None;
+        }
+        let trial_delay = self.trial_delay;
+        let record = self.record(request, now);
+        let was_suspected = record.is_suspected();
+        record.add_crash(server, now);
+        if !record.is_suspected() {
+            return None;
+        }
+        let until = if is_trial && was_suspected {
+            record.convict(now);
+            record.refused_until(trial_delay)
+        } else {
+            None
+        };
+        self.news.insert(request);
+        self.explain(request);
+        match until {
+            Some(until) => Some(Change::Quarantined(until.saturating_duration_since(now))),
+            None => (!was_suspected).then_some(Change::Suspected),
+        }
+    }
+
+    /// Records that a request ended without an answer, so that a single crash is reported to other instances. Otherwise
+    /// each of them would have to see two.
+    pub fn on_unanswered(&mut self, request: Fingerprint) {
+        if self.records.get(&request).is_some_and(Record::has_evidence) {
+            self.news.insert(request);
+        }
+    }
+
+    /// Records that a server answered a request.
+    pub fn on_answer(&mut self, request: Fingerprint, now: Instant) -> Option<Change> {
+        let record = self.records.get_mut(&request)?;
+        if !record.has_evidence() {
+            return None;
+        }
+        if !record.is_shared {
+            self.records.swap_remove(&request);
+            self.news.swap_remove(&request);
+            return None;
+        }
+        let was_suspected = record.is_suspected();
+        record.clear(now);
+        self.news.insert(request);
+        was_suspected.then_some(Change::Cleared)
+    }
+
+    /// Records that a trial ended without showing anything, for example because no server was available.
+    pub fn on_trial_end(&mut self, request: Fingerprint) {
+        if let Some(record) = self.records.get_mut(&request) {
+            record.end_trial();
+        }
+    }
+
+    /// Removes evidence that is too old to matter.
+    pub fn on_tick(&mut self, now: Instant) {
+        self.records
+            .retain(|_, record| now.saturating_duration_since(record.updated()) < RECORD_TTL);
+    }
+
+    /// Returns whether a crash of `server` was caused by another request than `request`.
+    fn is_explained(&self, server: ServerKey, request: Fingerprint) -> bool {
+        let mut others = self.records.iter().filter(|(other, _)| **other != request);
+        others.any(|(_, record)| record.is_convicted() && record.has_crashed(server))
+    }
+
+    /// If a request is convicted, withdraws the crashes that it caused from the evidence about all others.
+    fn explain(&mut self, request: Fingerprint) {
+        let Some(convicted) = self.records.get(&request).filter(|record| record.is_convicted()) else {
+            return;
+        };
+        let crashes = convicted.crashes.clone();
+        for (other, record) in &mut self.records {
+            if *other != request && !record.is_convicted() {
+                record.remove_crashes(&crashes);
+            }
+        }
+    }
+
+    /// Returns the record of a request. If there is none and no room for one, the record with the least evidence is
+    /// removed.
+    fn record(&mut self, request: Fingerprint, now: Instant) -> &mut Record {
+        if !self.records.contains_key(&request) && self.records.len() >= MAX_RECORDS {
+            let least = self.records.iter().min_by_key(|(_, record)| record.weight());
+            if let Some(least) = least.map(|(request, _)| *request) {
+                self.records.swap_remove(&least);
+                self.news.swap_remove(&least);
+            }
+        }
+        self.records.entry(request).or_insert_with(|| Record::new(now))
+    }
+}
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -53,6 +53,8 @@
     pub objective: Duration,
     /// Time until the caller's deadline.
     pub time_limit: Duration,
+    /// Part that must be answered by its first server before the others are sent, for a request that may crash servers.
+    pub trial: Option<usize>,
 }
 
 /// Reason why a part is sent.
@@ -90,6 +92,8 @@
     Probe(ServerIndex, Duration),
     /// No server has capacity, or the budget is exhausted; try again later.
     Defer,
+    /// The part must not be sent again until another part of the request has an answer or has failed.
+    Hold,
     /// No eligible server is left.
     NoServer,
 }
@@ -275,8 +279,10 @@
             if part.state != PartState::Open || now < part.check_at {
                 continue;
             }
-            if self.probe_deadline.is_some() && part.tried.is_empty() {
-                part.check_at = now + RECHECK_INTERVAL;
+            let awaits_probe = self.probe_deadline.is_some() && part.tried.is_empty();
+            let awaits_trial = self.done == 0 && self.limits.trial.is_some_and(|trial| trial != ix);
+            if awaits_probe || awaits_trial {
+                part.check_at = if awaits_trial { self.end } else { now + RECHECK_INTERVAL };
                 continue;
             }
             let part = &self.parts[ix];
@@ -310,14 +316,16 @@
                     });
                 }
                 ServerChoice::Defer => self.wait_for_capacity(ix, now),
+                ServerChoice::Hold => self.parts[ix].check_at = now + RECHECK_INTERVAL,
                 ServerChoice::NoServer => self.on_no_server(ix, now),
             }
         }
-        let must_wait = sends.len() < self.limits.min_parts && !self.is_capacity_wait_over(now);
+        let min_sends = if self.is_in_trial() { 1 } else { self.limits.min_parts };
+        let must_wait = sends.len() < min_sends && !self.is_capacity_wait_over(now);
         if is_new && (must_wait || self.is_unanswerable()) {
             self.withdraw(&sends, now);
             sends.clear();
-        } else if is_new {
+        } else if is_new && !self.is_in_trial() {
             self.send_probes_first(&mut sends, now);
         }
         sends
@@ -415,6 +423,9 @@
         }
         if outcome == AttemptOutcome::Answered {
             state.state = PartState::Done;
+            if self.is_in_trial() {
+                self.parts.iter_mut().for_each(|part| part.check_at = now);
+            }
             self.done += 1;
             return true;
         }
@@ -461,10 +472,37 @@
         Decision::Wait(check.min(next).min(probes_end))
     }
 
+    /// Gives up all parts without an answer, so that no server receives the request any more.
+    pub fn abort(&mut self) {
+        for ix in 0..self.parts.len() {
+            if self.parts[ix].state == PartState::Open {
+                self.give_up(ix, PartFailure::Failed);
+            }
+        }
+    }
+
+    /// Returns whether any part has an answer.
+    #[must_use]
+    pub const fn has_answer(&self) -> bool {
+        self.done > 0
+    }
+
+    /// Returns whether an answer may still come from an attempt in flight.
+    #[must_use]
+    pub fn awaits_answer(&self) -> bool {
+        let is_in_flight = |part: &Part| part.state == PartState::Open && part.in_flight > 0;
+        self.parts.iter().any(is_in_flight)
+    }
+
+    /// Returns whether the request waits for the answer of its trial.
+    const fn is_in_trial(&self) -> bool {
+        self.limits.trial.is_some() && self.done == 0
+    }
+
     /// Returns the cause of the next attempt of a part, or `None` if no further attempt is allowed.
     fn next_cause(&self, part: &Part) -> Option<Cause> {
         let used = part.possible_runs + part.in_flight;
-        let allowed = if self.limits.repeatable {
+        let allowed = if self.limits.repeatable && !self.is_in_trial() {
             self.limits.max_attempts.max(1)
         } else {
             1
@@ -480,9 +518,15 @@
         })
     }
 
+    /// Gives up a part, and with the part of a trial all others, which wait for its answer.
     fn give_up(&mut self, part: usize, failure: PartFailure) {
-        self.parts[part].state = PartState::Missing(failure);
-        self.missing += 1;
+        let ends_trial = self.is_in_trial() && self.limits.trial == Some(part);
+        for (ix, other) in self.parts.iter_mut().enumerate() {
+            if ix == part || (ends_trial && other.state == PartState::Open) {
+                other.state = PartState::Missing(failure);
+                self.missing += 1;
+            }
+        }
         self.last_failure = failure;
     }
 }
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -46,11 +46,13 @@
         #[prost(message, tag = "17")]
         GoAwayReply(super::GoAwayReply),
         #[prost(message, tag = "18")]
-        Roster(super::Roster),
+        Roster(::prost::alloc::boxed::Box<super::Roster>),
         #[prost(message, tag = "19")]
         Follow(super::Follow),
         #[prost(message, tag = "20")]
         Followed(super::Followed),
+        #[prost(message, tag = "21")]
+        Suspects(super::Suspects),
     }
 }
 /// First frame in each direction of a session.
@@ -456,6 +458,41 @@
     /// Entries of the platform that are outdated according to the sender, for a receiver that named a revision.
     #[prost(message, repeated, tag = "9")]
     pub outdated: ::prost::alloc::vec::Vec<OutdatedEntry>,
+    /// Requests under which backend servers crashed, so that an instance that has just started does not run them again.
+    #[prost(message, repeated, tag = "10")]
+    pub suspects: ::prost::alloc::vec::Vec<SuspectRequest>,
+}
+/// News about requests under which backend servers crashed. Sent at once to a few instances, which pass on what is new to
+/// them. There is no reply.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Suspects {
+    #[prost(message, repeated, tag = "1")]
+    pub requests: ::prost::alloc::vec::Vec<SuspectRequest>,
+}
+/// All that the sender knows about a request under which backend servers crashed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectRequest {
+    /// First 8 bytes of the hash of the request's content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Number of times that an answer cleared the request. A report with a higher number replaces those with lower ones.
+    #[prost(uint32, tag = "2")]
+    pub epoch: u32,
+    /// Servers that crashed under the request since it was last cleared: hashes of their names and start times.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<u64>,
+    /// Number of trials that were begun since then.
+    #[prost(uint32, tag = "4")]
+    pub trials: u32,
+    /// Time since the start of the last trial, if its result is not known.
+    #[prost(uint64, optional, tag = "5")]
+    pub trial_age_us: ::core::option::Option<u64>,
+    /// Number of trials that crashed their server. The request is refused if it is not 0.
+    #[prost(uint32, tag = "6")]
+    pub failed_trials: u32,
+    /// Time since the last of these.
+    #[prost(uint64, tag = "7")]
+    pub failed_age_us: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OutdatedEntry {
--- a/tests/testsuite/fanout.rs
+++ b/tests/testsuite/fanout.rs
@@ -27,6 +27,7 @@
         repeatable: true,
         objective: ms(150),
         time_limit: ms(800),
+        trial: None,
     }
 }
 
@@ -39,6 +40,7 @@
         repeatable,
         objective: ms(600),
         time_limit: ms(4000),
+        trial: None,
     }
 }
 
@@ -234,6 +236,7 @@
     let now = Instant::now();
     let limits = Limits {
         time_limit: ms(20),
+        trial: None,
         ..search()
     };
     let mut fanout = Fanout::new(limits, now);
@@ -363,3 +366,90 @@
     answer(&mut fanout, [hedges[0].part], now + ms(62));
     assert_eq!(fanout.advance(now + ms(66), first_untried).len(), 8);
 }
+
+/// Guards against a trial that is sent to more than one server, and against parts that stay unsent after it is answered.
+#[test]
+fn other_parts_wait_for_the_answer_of_a_trial() {
+    let now = Instant::now();
+    let limits = Limits {
+        trial: Some(3),
+        ..search()
+    };
+    let mut fanout = Fanout::new(limits, now);
+    let trial = PartSend {
+        part: 3,
+        server: 0,
+        cause: Cause::First,
+    };
+    assert_eq!(fanout.advance(now, first_untried), [trial]);
+    assert!(fanout.advance(now + ms(40), first_untried).is_empty());
+    answer(&mut fanout, [3], now + ms(50));
+    assert_eq!(fanout.advance(now + ms(50), first_untried).len(), 9);
+    answer(&mut fanout, (0..10).filter(|part| *part != 3), now + ms(70));
+    assert_eq!(fanout.decision(now + ms(70)), Decision::Answer);
+}
+
+/// Guards against a trial that goes on after its server crashed, and against a trial that counts as run although no
+/// server received it.
+#[test]
+fn a_trial_ends_with_its_server() {
+    let now = Instant::now();
+    let limits = Limits {
+        trial: Some(0),
+        ..search()
+    };
+    let mut fanout = Fanout::new(limits, now);
+    fanout.advance(now, first_untried);
+    fanout.on_attempt_end(0, AttemptOutcome::Unsent, now + ms(1));
+    let resend = fanout.advance(now + ms(1), first_untried);
+    assert!(matches!(
+        resend[..],
+        [PartSend {
+            part: 0,
+            cause: Cause::Resend,
+            ..
+        }]
+    ));
+    fanout.on_attempt_end(0, AttemptOutcome::Crashed, now + ms(20));
+    assert!(fanout.advance(now + ms(20), first_untried).is_empty());
+    assert_eq!(fanout.decision(now + ms(20)), Decision::Fail(PartFailure::Failed));
+    let mut unsent = Fanout::new(limits, now);
+    assert!(unsent.advance(now, |_, _, _| ServerChoice::NoServer).is_empty());
+    assert!(matches!(unsent.decision(now), Decision::Refuse(_)));
+}
+
+/// Guards against a request that crashed servers and is still sent to others after it was aborted.
+#[test]
+fn an_aborted_request_sends_nothing_more_and_has_run() {
+    let now = Instant::now();
+    let mut fanout = Fanout::new(search(), now);
+    fanout.advance(now, first_untried);
+    for part in 0..2 {
+        fanout.on_attempt_end(part, AttemptOutcome::Crashed, now + ms(10));
+    }
+    fanout.abort();
+    assert!(fanout.advance(now + ms(10), first_untried).is_empty());
+    assert_eq!(fanout.decision(now + ms(10)), Decision::Fail(PartFailure::Failed));
+}
+
+/// Guards against a part that is given up for lack of capacity while it only has to wait for the answer of another part.
+#[test]
+fn a_held_part_is_sent_again_once_it_may_be() {
+    let now = Instant::now();
+    let mut fanout = Fanout::new(search(), now);
+    fanout.advance(now, first_untried);
+    fanout.on_attempt_end(0, AttemptOutcome::Crashed, now + ms(50));
+    assert!(fanout.awaits_answer() && !fanout.has_answer());
+    let held = fanout.advance(now + ms(50), |_, _, _| ServerChoice::Hold);
+    assert!(held.is_empty());
+    answer(&mut fanout, 1..10, now + ms(60));
+    let retries = fanout.advance(now + ms(60), first_untried);
+    assert!(matches!(
+        retries[..],
+        [PartSend {
+            part: 0,
+            cause: Cause::Retry,
+            ..
+        }]
+    ));
+}
--- a/tests/testsuite/fingerprint.rs
+++ b/tests/testsuite/fingerprint.rs
@@ -11,7 +11,7 @@
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
-    request.body(()).unwrap().into_parts().0
+    request.body(()).expect("a valid request").into_parts().0
 }
 
 fn fingerprint(uri: &str, headers: &[(&str, &str)], body: &str) -> Fingerprint {
@@ -44,7 +44,12 @@
 fn requests_that_differ_have_different_fingerprints() {
     let host = [("host", "h")];
     let base = fingerprint("/a/b?c=1", &host, "body");
-    let post = Fingerprint::of(&Method::POST, &"/a/b?c=1".parse().unwrap(), &HeaderMap::new(), b"body");
+    let post = Fingerprint::of(
+        &Method::POST,
+        &"/a/b?c=1".parse().expect("a valid URI"),
+        &HeaderMap::new(),
+        b"body",
+    );
     let others = [
         fingerprint("/a/b?c=2", &host, "body"),
         fingerprint("/a/b", &host, "body"),
--- a/tests/testsuite/load/replay.rs
+++ b/tests/testsuite/load/replay.rs
@@ -289,6 +289,7 @@
             repeatable: true,
             objective,
             time_limit,
+            trial: None,
         };
         self.requests.push(Request {
             kind,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod node;
 mod notices;
 mod ownership;
+mod quarantine;
 mod rate_limits;
 mod records;
 mod routing;
--- a/tests/testsuite/notices.rs
+++ b/tests/testsuite/notices.rs
@@ -108,6 +108,7 @@
         repeatable: true,
         objective: Duration::from_millis(100),
         time_limit: Duration::from_secs(1),
+        trial: None,
     };
     let mut fanout = Fanout::new(limits, now);
     fanout.advance(now, |part, _, _| {
