quarantine: keep the evidence against the request with the most crashes

A convicted request now explains only the crashes of requests under which no more servers crashed. An instance makes one trial at a time, at a random part, and never at the last available server of a shard.

Shown by tests that fail before (trials_wait_for_each_other_and_for_a_spare_server, a_request_with_fewer_crashes_does_not_explain_those_of_another).

--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -20,7 +20,6 @@
 use crate::connection::upstream::Response;
 use crate::ids::ServiceId;
 use crate::process::backends::Backend;
-use crate::process::backends::View;
 use crate::process::backends::choice;
 use crate::process::backends::choice::ProbeBudget;
 use crate::process::backends::selection;
@@ -73,8 +72,8 @@
     pub(super) started: Instant,
     /// Time from the start until the caller's deadline.
     pub(super) time_limit: Duration,
-    /// Whether the request may crash the servers that run it, so that it runs at a single one first.
-    pub(super) is_trial: bool,
+    /// Part that must be answered before the others are sent, because the request may crash the servers that run it.
+    pub(super) trial: Option<usize>,
 }
 
 /// Request in progress with the inputs of its attempts.
@@ -116,7 +115,7 @@
             id,
             started,
             time_limit,
-            is_trial,
+            trial,
         } = request;
         let services: Vec<ServiceId> = match &route.target {
             Target::Single(service) => vec![service.clone()],
@@ -138,7 +137,7 @@
             repeatable: route.idempotent,
             objective: route.target_latency,
             time_limit,
-            trial: is_trial.then(|| most_available(&effective.view, &services, started)),
+            trial,
         };
         let latencies = gateway.latencies(&route.name);
         let summary = latencies.lock().unwrap_or_else(PoisonError::into_inner).summary();
@@ -158,7 +157,7 @@
             sent: Vec::new(),
             crashes: 0,
             has_answer: Arc::default(),
-            is_trial,
+            is_trial: trial.is_some(),
             is_finished: false,
             route,
         }
@@ -475,18 +474,6 @@
     }
 }
 
-/// Returns the part whose service has the most available servers, which loses the least by the crash of one.
-fn most_available(view: &View, services: &[ServiceId], now: Instant) -> usize {
-    let available = |service: &ServiceId| {
-        let servers = view.servers(service).iter();
-        servers.filter(|server| !server.state().is_avoided(now)).count()
-    };
-    let parts = services.iter().enumerate();
-    parts
-        .max_by_key(|(_, service)| available(service))
-        .map_or(0, |(part, _)| part)
-}
-
 /// Waits for attempts that are no longer needed, up to [`LINGER_TIME`], so that their connections stay usable and their
 /// results count in the statistics of the servers.
 async fn finish_remaining(mut running: FuturesUnordered<BoxFuture<'static, AttemptResult>>) {
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -151,10 +151,11 @@
         return Err(Refusal::new("turned_away", answer::not_run(text, after)));
     }
     let outgoing = OutgoingRequest::new(head, body);
-    let is_trial = match gateway.admit_request(outgoing.fingerprint, Instant::now()) {
-        Admission::Run => false,
-        Admission::Trial => true,
-        Admission::Refuse(time) => {
+    let now = Instant::now();
+    let trial = match gateway.admit_request(outgoing.fingerprint, &route.target, &effective.view, now) {
+        (Admission::Run, _) => None,
+        (Admission::Trial, part) => part,
+        (Admission::Refuse(time), _) => {
             let text = "backend servers crashed while they ran this request before; it has not run\n";
             let mut refusal = Refusal::new("quarantined", answer::not_run(text, time));
             refusal.fingerprint = Some(outgoing.fingerprint);
@@ -166,7 +167,7 @@
         id,
         started,
         time_limit,
-        is_trial,
+        trial,
     };
     Ok(Forwarding::new(gateway, effective, route, request))
 }
--- a/src/process/gateway/suspects.rs
+++ b/src/process/gateway/suspects.rs
@@ -8,12 +8,17 @@
 use std::time::Instant;
 
 use futures_util::SinkExt;
+use indexmap::IndexSet;
+use rand::seq::IteratorRandom;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
+use crate::ids::ServiceId;
+use crate::process::backends::Backend;
 use crate::process::backends::BackendEntry;
+use crate::process::backends::View;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::log_quota::LogTopic;
 use crate::process::gateway::roster_exchange::ExchangeError;
@@ -24,6 +29,7 @@
 use crate::process::quarantine::Quarantine;
 use crate::process::quarantine::ServerKey;
 use crate::request::fingerprint::Fingerprint;
+use crate::version::routing::Target;
 use crate::wire::codec::FrameCodec;
 use crate::wire::proto;
 use crate::wire::proto::frame::Body;
@@ -50,22 +56,32 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Decides how to treat a request that arrives.
-    pub(super) fn admit_request(&self, request: Fingerprint, now: Instant) -> Admission {
+    /// Decides how to treat a request to `target` that arrives. The part is the one to run in a trial.
+    pub(super) fn admit_request(
+        &self,
+        request: Fingerprint,
+        target: &Target,
+        view: &View,
+        now: Instant,
+    ) -> (Admission, Option<usize>) {
         let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
-            return Admission::Run;
+            return (Admission::Run, None);
         }
-        let admission = quarantine.admit(request, now);
+        let mut part = None;
+        let admission = quarantine.admit(request, now, |crashed| {
+            part = trial_part(target, view, crashed, now);
+            part.is_some()
+        });
         drop(quarantine);
         if admission == Admission::Trial {
             self.metrics.count_suspect("trial");
             if self.log_quota.allow(&self.log, LogTopic::Failure) {
-                info!(self.log, "suspect_trial"; "fingerprint" => %request);
+                info!(self.log, "suspect_trial"; "fingerprint" => %request, "part" => part);
             }
             self.quarantine_changed.notify_one();
         }
-        admission
+        (admission, part)
     }
 
     /// Returns whether a request must not be sent to further servers unless one has answered it.
@@ -155,6 +171,29 @@
     }
 }
 
+/// Chooses a part of a request to `target` whose service can lose a server, or `None` if there is none. The choice is
+/// random, so that trials at several instances rarely share a server.
+fn trial_part(target: &Target, view: &View, crashed: &IndexSet<ServerKey>, now: Instant) -> Option<usize> {
+    let has_spare = |service: &ServiceId| {
+        let servers = view.servers(service);
+        let is_up = |server: &&Arc<Backend>| {
+            let state = server.state();
+            !state.is_leaving() && !state.is_avoided(now)
+        };
+        let up = servers.iter().filter(is_up);
+        let up = up
+            .filter(|server| !crashed.contains(&server_key(&server.entry)))
+            .count();
+        up >= 2 || (up == 1 && servers.len() == 1)
+    };
+    let services = target.services().enumerate();
+    let spare = services.filter(|(_, service)| has_spare(service)).map(|(part, _)| part);
+    match target {
+        Target::Single(_) | Target::Split(_) => spare.map(|_| 0).next(),
+        Target::Shards(_) => spare.choose(&mut rand::rng()),
+    }
+}
+
 /// Returns the key of an incarnation of a server.
 fn server_key(server: &BackendEntry) -> ServerKey {
     rank::mix(NameHash::of(&server.id).0 ^ rank::mix(server.started_ms))
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -29,9 +29,12 @@
 /// Maximum number of requests about which evidence is kept, 1 KB each at most.
 pub const MAX_RECORDS: usize = 1024;
 
-/// `Retry-After` time of a request that comes during a trial of it.
+/// `Retry-After` time of a request that comes during a trial.
 const TRIAL_RETRY: Duration = Duration::from_millis(200);
 
+/// `Retry-After` time of a request whose trial waits until crashed servers are back.
+const SPARE_RETRY: Duration = Duration::from_secs(1);
+
 /// Time for which evidence is kept after the last event. It exceeds the longest quarantine.
 const RECORD_TTL: Duration = Duration::from_secs(1800);
 
@@ -66,6 +69,8 @@
     records: IndexMap<Fingerprint, Record>,
     /// Requests about which other instances have to be told.
     news: IndexSet<Fingerprint>,
+    /// Request whose trial this instance has begun, with the time. Trials that share a server cannot be told apart.
+    own_trial: Option<(Fingerprint, Instant)>,
     /// Share by which this instance delays later trials, from 0 to 1. Instances differ in it, so that mostly one of them
     /// makes the trial and tells the others its result.
     trial_delay: f64,
@@ -78,6 +83,7 @@
         Self {
             records: IndexMap::new(),
             news: IndexSet::new(),
+            own_trial: None,
             trial_delay: trial_delay.clamp(0.0, 1.0),
         }
     }
@@ -105,7 +111,18 @@
 
     /// Decides how to treat a request that arrives. The caller reports the end of a trial by
     /// [`Quarantine::on_trial_end`] if the server neither answered nor crashed.
-    pub fn admit(&mut self, request: Fingerprint, now: Instant) -> Admission {
+    ///
+    /// `has_spare` returns whether a server can be lost in a trial, given those that crashed. A trial at the last server
+    /// of a shard could cost all other requests their answers.
+    pub fn admit(
+        &mut self,
+        request: Fingerprint,
+        now: Instant,
+        has_spare: impl FnOnce(&IndexSet<ServerKey>) -> bool,
+    ) -> Admission {
+        let is_trying = self
+            .own_trial
+            .is_some_and(|(_, at)| now.saturating_duration_since(at) < record::TRIAL_TIME);
         let Some(record) = self.records.get_mut(&request) else {
             return Admission::Run;
         };
@@ -115,9 +132,13 @@
         if !record.is_suspected() {
             return Admission::Run;
         }
-        if record.is_in_trial(now) {
+        if is_trying || record.is_in_trial(now) {
             return Admission::Refuse(TRIAL_RETRY);
         }
+        if !has_spare(&record.crashes) {
+            return Admission::Refuse(SPARE_RETRY);
+        }
+        self.own_trial = Some((request, now));
         record.begin_trial(now);
         record.is_shared = true;
         self.news.insert(request);
@@ -154,6 +175,7 @@
         } else {
             None
         };
+        self.own_trial = self.own_trial.filter(|(trial, _)| !is_trial || *trial != request);
         self.news.insert(request);
         self.explain(request);
         match until {
@@ -172,6 +194,7 @@
 
     /// Records that a server answered a request.
     pub fn on_answer(&mut self, request: Fingerprint, now: Instant) -> Option<Change> {
+        self.own_trial = self.own_trial.filter(|(trial, _)| *trial != request);
         let record = self.records.get_mut(&request)?;
         if !record.has_evidence() {
             return None;
@@ -189,6 +212,7 @@
 
     /// Records that a trial ended without showing anything, for example because no server was available.
     pub fn on_trial_end(&mut self, request: Fingerprint) {
+        self.own_trial = self.own_trial.filter(|(trial, _)| *trial != request);
         if let Some(record) = self.records.get_mut(&request) {
             record.end_trial();
         }
@@ -200,20 +224,24 @@
             .retain(|_, record| now.saturating_duration_since(record.updated()) < RECORD_TTL);
     }
 
-    /// Returns whether a crash of `server` was caused by another request than `request`.
+    /// Returns whether a crash of `server` was caused by another request than `request`: a convicted one under which no
+    /// fewer servers crashed.
     fn is_explained(&self, server: ServerKey, request: Fingerprint) -> bool {
+        let crashes = self.records.get(&request).map_or(0, |record| record.crashes.len());
         let mut others = self.records.iter().filter(|(other, _)| **other != request);
-        others.any(|(_, record)| record.is_convicted() && record.has_crashed(server))
+        others
+            .any(|(_, other)| other.is_convicted() && other.crashes.contains(&server) && other.crashes.len() >= crashes)
     }
 
-    /// If a request is convicted, withdraws the crashes that it caused from the evidence about all others.
+    /// If a request is convicted, withdraws the crashes that it caused from the evidence about all others. One under which
+    /// more servers crashed is the more likely cause, and keeps its own.
     fn explain(&mut self, request: Fingerprint) {
         let Some(convicted) = self.records.get(&request).filter(|record| record.is_convicted()) else {
             return;
         };
         let crashes = convicted.crashes.clone();
         for (other, record) in &mut self.records {
-            if *other != request && !record.is_convicted() {
+            if *other != request && !record.is_convicted() && record.crashes.len() <= crashes.len() {
                 record.remove_crashes(&crashes);
             }
         }
--- a/src/process/quarantine/record.rs
+++ b/src/process/quarantine/record.rs
@@ -15,7 +15,7 @@
 pub(super) const MAX_CRASHES: usize = 16;
 
 /// Time from the start of a trial after which another one may begin although the result of the first is not known.
-const TRIAL_TIME: Duration = Duration::from_secs(1);
+pub(super) const TRIAL_TIME: Duration = Duration::from_secs(1);
 
 /// Time from the first failed trial to the second. It is short, because the server may have crashed for another reason
 /// just then.
@@ -76,10 +76,6 @@
         !self.crashes.is_empty() || self.is_convicted()
     }
 
-    pub(super) fn has_crashed(&self, server: ServerKey) -> bool {
-        self.crashes.contains(&server)
-    }
-
     pub(super) fn is_suspected(&self) -> bool {
         self.crashes.len() >= SUSPECT_CRASHES || self.is_convicted()
     }
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexSet;
 use pimentoflow::process::quarantine::Admission;
 use pimentoflow::process::quarantine::Change;
 use pimentoflow::process::quarantine::MAX_RECORDS;
@@ -33,7 +34,7 @@
 fn convicting(now: Instant) -> Quarantine {
     let mut quarantine = suspecting(now - ms(2000));
     for (server, now) in [(3, now - ms(2000)), (4, now)] {
-        assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
+        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
         let change = quarantine.on_crash(CULPRIT, server, true, now);
         assert!(matches!(change, Some(Change::Quarantined(_))));
     }
@@ -48,9 +49,9 @@
     let mut quarantine = Quarantine::new(0.0);
     for _ in 0..5 {
         quarantine.on_crash(CULPRIT, 1, false, now);
-        assert_eq!(quarantine.admit(CULPRIT, now), Admission::Run);
+        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Run);
     }
-    assert_eq!(quarantine.admit(OTHER, now), Admission::Run);
+    assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Run);
 }
 
 /// Guards against a request that crashed two servers and is sent to all servers again, or to several at a time.
@@ -58,12 +59,12 @@
 fn a_suspected_request_runs_as_one_trial_at_a_time() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
-    assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
-    assert!(matches!(quarantine.admit(CULPRIT, now + ms(100)), Admission::Refuse(time) if time < ms(1000)));
+    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
+    assert!(matches!(quarantine.admit(CULPRIT, now + ms(100), |_| true), Admission::Refuse(time) if time < ms(1000)));
     quarantine.on_trial_end(CULPRIT);
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(200)), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, now + ms(200), |_| true), Admission::Trial);
     // The result of the trial was lost, for example with the instance that made it.
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(5000)), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, now + ms(5000), |_| true), Admission::Trial);
 }
 
 /// Guards against a quarantine for crashes of one moment, which a frequent request sees at several servers.
@@ -75,7 +76,46 @@
         assert_eq!(quarantine.on_crash(CULPRIT, server, false, now), None);
     }
     assert_eq!(quarantine.quarantined(now), 0);
-    assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
+}
+
+/// Guards against a trial that takes the last server of a shard, and against two trials that may share a server. If it
+/// crashes, both requests would be refused.
+#[test]
+fn trials_wait_for_each_other_and_for_a_spare_server() {
+    let now = Instant::now();
+    let mut quarantine = suspecting(now);
+    quarantine.on_crash(OTHER, 1, false, now);
+    quarantine.on_crash(OTHER, 2, false, now);
+    assert!(matches!(
+        quarantine.admit(CULPRIT, now, |_| false),
+        Admission::Refuse(_)
+    ));
+    let has_spare = |crashed: &IndexSet<u64>| crashed.contains(&1) && crashed.len() == 2;
+    assert_eq!(quarantine.admit(CULPRIT, now, has_spare), Admission::Trial);
+    assert!(matches!(quarantine.admit(OTHER, now, |_| true), Admission::Refuse(_)));
+    quarantine.on_answer(CULPRIT, now + ms(20));
+    assert_eq!(quarantine.admit(OTHER, now + ms(20), |_| true), Admission::Trial);
+}
+
+/// Guards against a request that escapes since another one, which was running at some of the same servers, is
+/// quarantined first. The one under which the most servers crashed is the likely cause.
+#[test]
+fn a_request_with_fewer_crashes_does_not_explain_those_of_another() {
+    let now = Instant::now();
+    let mut quarantine = suspecting(now);
+    for server in 3..12 {
+        quarantine.on_crash(CULPRIT, server, false, now);
+    }
+    quarantine.on_crash(OTHER, 1, false, now);
+    quarantine.on_crash(OTHER, 2, false, now);
+    assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Trial);
+    quarantine.on_crash(OTHER, 3, true, now);
+    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
+    assert!(matches!(
+        quarantine.on_crash(CULPRIT, 12, true, now),
+        Some(Change::Quarantined(_))
+    ));
 }
 
 /// Guards against a request that stays suspect after a server answered it, such as a frequent one that was running at
@@ -84,12 +124,12 @@
 fn an_answer_clears_a_request() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
-    assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
     assert_eq!(quarantine.on_answer(CULPRIT, now + ms(20)), Some(Change::Cleared));
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(20)), Admission::Run);
+    assert_eq!(quarantine.admit(CULPRIT, now + ms(20), |_| true), Admission::Run);
     let mut quarantine = convicting(now);
     assert_eq!(quarantine.on_answer(CULPRIT, now + ms(20)), Some(Change::Cleared));
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(20)), Admission::Run);
+    assert_eq!(quarantine.admit(CULPRIT, now + ms(20), |_| true), Admission::Run);
 }
 
 /// Guards against a quarantine that ends while the request still crashes servers, and against one that never ends.
@@ -97,21 +137,21 @@
 fn trials_become_rarer_with_each_one_that_fails() {
     let start = Instant::now();
     let mut quarantine = suspecting(start);
-    assert_eq!(quarantine.admit(CULPRIT, start), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, start, |_| true), Admission::Trial);
     quarantine.on_crash(CULPRIT, 3, true, start);
     let mut now = start;
     let mut times = Vec::new();
     for server in 10..17 {
-        let Admission::Refuse(time) = quarantine.admit(CULPRIT, now) else {
+        let Admission::Refuse(time) = quarantine.admit(CULPRIT, now, |_| true) else {
             panic!("admitted {:?} after the last trial", now - start);
         };
         times.push(time.as_secs());
         assert!(matches!(
-            quarantine.admit(CULPRIT, now + time - ms(1)),
+            quarantine.admit(CULPRIT, now + time - ms(1), |_| true),
             Admission::Refuse(_)
         ));
         now += time;
-        assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
+        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
         quarantine.on_crash(CULPRIT, server, true, now);
     }
     assert_eq!(times, [2, 60, 120, 240, 480, 600, 600]);
@@ -124,13 +164,13 @@
     let mut quarantine = suspecting(now);
     quarantine.on_crash(OTHER, 1, false, now);
     assert_eq!(quarantine.on_crash(OTHER, 2, false, now), Some(Change::Suspected));
-    assert_eq!(quarantine.admit(CULPRIT, now), Admission::Trial);
+    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
     quarantine.on_crash(CULPRIT, 3, true, now);
-    assert_eq!(quarantine.admit(OTHER, now), Admission::Run);
+    assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Run);
     // The report of its crash may come after the quarantine.
     quarantine.on_crash(OTHER, 3, false, now);
     quarantine.on_crash(OTHER, 4, false, now);
-    assert_eq!(quarantine.admit(OTHER, now), Admission::Run);
+    assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Run);
 }
 
 /// Guards against a request that crashes a server at each instance, of which each sees one crash.
@@ -143,10 +183,10 @@
     assert!(!first.has_news(), "the request may still be answered");
     first.on_unanswered(CULPRIT);
     second.on_reports(&first.take_news(now), now + ms(1));
-    assert_eq!(second.admit(CULPRIT, now + ms(2)), Admission::Run);
+    assert_eq!(second.admit(CULPRIT, now + ms(2), |_| true), Admission::Run);
     assert_eq!(second.on_crash(CULPRIT, 2, false, now + ms(3)), Some(Change::Suspected));
     first.on_reports(&second.take_news(now + ms(4)), now + ms(4));
-    assert_eq!(first.admit(CULPRIT, now + ms(5)), Admission::Trial);
+    assert_eq!(first.admit(CULPRIT, now + ms(5), |_| true), Admission::Trial);
 }
 
 /// Guards against an instance that runs the request since it was started after the others had seen it crash servers.
@@ -158,7 +198,7 @@
     let later = now + ms(10_000);
     let changes = started.on_reports(&known.reports(later), later);
     assert!(matches!(changes[..], [(CULPRIT, Change::Quarantined(_))]));
-    let Admission::Refuse(time) = started.admit(CULPRIT, later) else {
+    let Admission::Refuse(time) = started.admit(CULPRIT, later, |_| true) else {
         panic!("admitted")
     };
     // Its own trials come later than those of the first, by half of 60 s.
@@ -181,7 +221,7 @@
         second.on_reports(&first.reports(at), at + ms(15));
         first.on_reports(&second.reports(at + ms(15)), at + ms(30));
     }
-    assert_eq!(second.admit(CULPRIT, now + ms(500)), Admission::Run);
+    assert_eq!(second.admit(CULPRIT, now + ms(500), |_| true), Admission::Run);
     first.take_news(now + ms(500));
     second.take_news(now + ms(500));
     let at = now + ms(600);
@@ -211,13 +251,13 @@
         ..proto::SuspectRequest::default()
     }));
     quarantine.on_reports(&reports, now);
-    assert!(matches!(quarantine.admit(CULPRIT, now), Admission::Refuse(_)));
+    assert!(matches!(quarantine.admit(CULPRIT, now, |_| true), Admission::Refuse(_)));
     assert!(quarantine.len() <= 64);
     let mut cleared = suspecting(now);
     let outdated = cleared.take_news(now);
     cleared.on_answer(CULPRIT, now + ms(1));
     cleared.on_reports(&outdated, now + ms(2));
-    assert_eq!(cleared.admit(CULPRIT, now + ms(2)), Admission::Run);
+    assert_eq!(cleared.admit(CULPRIT, now + ms(2), |_| true), Admission::Run);
 }
 
 /// Guards against memory that grows with the number of requests under which servers crashed, and against the loss of a
@@ -231,7 +271,7 @@
     }
     assert_eq!(quarantine.len(), MAX_RECORDS);
     assert!(matches!(
-        quarantine.admit(CULPRIT, now + ms(10_000)),
+        quarantine.admit(CULPRIT, now + ms(10_000), |_| true),
         Admission::Refuse(_)
     ));
     quarantine.on_tick(now + Duration::from_secs(7200));
@@ -283,7 +323,7 @@
         let instance = self.rng.random_range(0..self.instances.len());
         let is_culprit = request == CULPRIT;
         self.innocent_arrivals += u32::from(!is_culprit);
-        let is_trial = match self.instances[instance].admit(request, now) {
+        let is_trial = match self.instances[instance].admit(request, now, |_| true) {
             Admission::Run => false,
             Admission::Trial => true,
             Admission::Refuse(time) => {
