gateway: use no server whose name cannot be sent in a header

Requests name the server that should run them. For a name with a control character the header was left out silently, so another server that has the address by now would run the request.

Such an entry counts as unreadable. The test fails before: the server gets requests.

--- a/src/process/gateway/platform_state.rs
+++ b/src/process/gateway/platform_state.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use indexmap::IndexMap;
 use slog::info;
 use slog::warn;
@@ -251,6 +252,12 @@
     ) -> bool {
         match item {
             Item::Routing(routing) => self.on_routing(platform, routing, change),
+            // Requests name the server in a header, so that no other one at its address runs them.
+            Item::Server(entry) if HeaderValue::from_str(&entry.id).is_err() => {
+                warn!(self.log, "platform_value_unreadable"; "key" => &*change.key,
+                    "reason" => "the name of the server cannot be sent in a header");
+                false
+            }
             Item::Server(entry) => {
                 let change = match scope {
                     ReadScope::Full => platform.directory.on_listed(entry.clone(), now),
