http: keep the read buffer above the minimum of the HTTP library

A configuration whose MaxHeaderBytes is under 8 KiB is valid, but the HTTP library panics for a smaller buffer: each connection of a caller ended without an answer.

The buffer has 8 KiB at least.

--- a/src/process/http.rs
+++ b/src/process/http.rs
@@ -51,6 +51,9 @@
 /// way), so that a request arrives in time if it was sent before its caller learned of the stop.
 const IDLE_LINGER: Duration = Duration::from_millis(400);
 
+/// Smallest read buffer that `hyper` accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Delay after a failed accept, which prevents a busy loop when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -59,7 +62,8 @@
 pub struct HttpLimits {
     /// Maximum number of open connections. Further connections wait in the backlog of the listener.
     pub connections: usize,
-    /// Size of the read buffer of a connection in bytes, which limits the size of a request head.
+    /// Size of the read buffer of a connection in bytes, which limits the size of a request head. At least 8 KiB are
+    /// used.
     pub buffer_bytes: usize,
     /// Maximum idle time of a connection, and maximum time to receive a request head. `hyper` has one limit for both.
     pub head_timeout: Duration,
@@ -287,7 +291,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
-            .max_buf_size(self.limits.buffer_bytes)
+            .max_buf_size(self.limits.buffer_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(Box::pin(stream)), service);
         let mut connection = pin!(connection);
         tokio::select! {
