gateway: bound times and counts that others send

Instant panics when a time is added that the clock cannot hold. Four values that parse could be that long:

- WarmupLeftMs of a server's entry (1e22): the task that follows the platform ended, and the instance kept the state of that moment.
- keep-alive timeout of a server (2^64-1 s): the request ended without an answer after the server had run it.
- TimeoutMs, TargetLatencyMs and IdleTimeoutMs of the configuration: each request, or each connection, ended.
- The load figures of a server overflow a sum; release builds wrap, so the server looks idle.

Ruled out by the tests, which passed for these: deep nesting (serde_json refuses more than 128 levels), numbers out of range, ports out of range, missing fields and bytes that are no JSON. The tests fail before with 'overflow when adding duration to instant'.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -57,6 +57,9 @@
 /// no request is sent while the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Maximum idle time of a connection, whatever keep-alive timeout the server gives.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Maximum idle time of a connection if the server gives no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -319,7 +322,7 @@
             return;
         }
         let time = match keep_alive_timeout(headers) {
-            Some(timeout) => timeout.saturating_sub(IDLE_MARGIN),
+            Some(timeout) => timeout.min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN),
             None => DEFAULT_IDLE_TIMEOUT,
         };
         let usable_until = Instant::now() + time;
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -75,6 +75,9 @@
 /// Minimum wait without a response for a server to count as silent, as a multiple of the usual latency.
 const SILENT_RATIO: f64 = 8.0;
 
+/// Maximum time to warm up. The time comes from the server, and a clock cannot hold every value.
+const WARMUP_MAX: Duration = Duration::from_secs(600);
+
 /// Slowness assumed during warm-up.
 const WARMUP_SLOWNESS: f64 = 1.6;
 
@@ -177,7 +180,7 @@
             rate_limit: None,
             sends: SendCounts::default(),
             is_leaving: false,
-            warmup_until: now + warmup,
+            warmup_until: now + warmup.min(WARMUP_MAX),
         }
     }
 
@@ -408,7 +411,7 @@
         if now < self.warmup_until {
             slowness = slowness.max(WARMUP_SLOWNESS);
         }
-        let load = self.load(now) + 1;
+        let load = self.load(now).saturating_add(1);
         let rounds = (f64::from(load) / f64::from(self.slots)).max(1.0);
         // Servers slow down as slots fill up, so utilisation costs a little even before requests queue.
         let utilisation_cost = 0.1 * f64::from(load - 1) / f64::from(self.slots);
@@ -452,9 +455,8 @@
             .load_report
             .filter(|load_report| now.saturating_duration_since(load_report.at) < LOAD_MAX_AGE);
         fresh.map_or(own_in_flight, |load_report| {
-            let others =
-                (load_report.load.running + load_report.load.waiting).saturating_sub(load_report.own_in_flight);
-            own_in_flight + others
+            let others = load_report.load.running.saturating_add(load_report.load.waiting);
+            own_in_flight.saturating_add(others.saturating_sub(load_report.own_in_flight))
         })
     }
 
--- a/src/version/routing.rs
+++ b/src/version/routing.rs
@@ -17,6 +17,9 @@
 /// golden ratio, scaled to 2^32. After 100 requests, the share of each service is within 1% of its weight.
 const GOLDEN_RATIO_STEP: u32 = 2_654_435_769;
 
+/// Maximum time of a limit. A configuration may hold any value, and a clock cannot.
+const MAX_TIME: Duration = Duration::from_secs(24 * 3600);
+
 /// Routes, services and limits of one configuration version.
 #[derive(Debug, Default)]
 pub struct Routing {
@@ -180,17 +183,20 @@
 }
 
 impl Routing {
-    /// Creates a routing from pairs of host and route.
+    /// Creates a routing from pairs of host and route. Times are at most a day.
     #[must_use]
     pub fn new(
         revision: Revision,
-        limits: CallerLimits,
+        mut limits: CallerLimits,
         services: IndexMap<ServiceId, ServiceLimits>,
         routes: Vec<(Box<str>, Route)>,
     ) -> Self {
         let mut hosts: IndexMap<Box<str>, Vec<Arc<Route>>> = IndexMap::new();
         let mut ranks: IndexMap<ServiceId, u32> = IndexMap::new();
-        for (host, route) in routes {
+        limits.idle_timeout = limits.idle_timeout.min(MAX_TIME);
+        for (host, mut route) in routes {
+            route.timeout = route.timeout.min(MAX_TIME);
+            route.target_latency = route.target_latency.min(MAX_TIME);
             for service in route.target.services() {
                 let rank = ranks.entry(service.clone()).or_insert(route.rank);
                 *rank = route.rank.min(*rank);
