gateway: answer all requests before a planned stop ends

It happened here: a request that takes longer than the grace was cut with its connection, whether it came before the stop or during it.

When a stop begins, all requests end 0.1 s before the process does: with 504 if they may have run, with 503 if not. A request that arrives is passed on only if as much time is left as it may need: its objective, and four times that if it must run only once. Otherwise it is refused at once, with Retry-After 0, since another instance can take it.

Ruled out: refusing all requests after the notice (those that have time are served better here), and requiring the whole timeout of a route (with 6 s of 6 s grace all submissions would be refused from the start).

--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -79,7 +79,7 @@
 pub enum Action {
     /// Answer `/ready` with 503.
     SetNotReady,
-    /// Send a go-away to all peers.
+    /// Send a go-away to all peers, and end requests before the hard limit.
     SendGoAway {
         /// Time until the hard limit expires.
         drain: Duration,
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -76,6 +76,9 @@
 /// Time within which a caller must accept some bytes of an answer. An answer stays in memory until it is read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time before the end of a planned stop at which the last requests are answered, so that callers receive the answers.
+const STOP_MARGIN: Duration = Duration::from_millis(100);
+
 /// Maximum number of open caller connections. Each takes a file descriptor and about 20 KB of buffers.
 const MAX_CALLER_CONNECTIONS: usize = 4096;
 
@@ -99,6 +102,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) metrics: GatewayMetrics,
     readiness: Readiness,
+    /// Time by which requests must be answered because the process stops; `None` while no stop is planned.
+    pub(crate) stop_time: watch::Sender<Option<Instant>>,
     effective: ArcSwapOption<EffectiveState>,
     platform_state: Mutex<PlatformState>,
     gossip: Mutex<Gossip>,
@@ -164,6 +169,7 @@
             settings,
             metrics,
             readiness: Readiness::default(),
+            stop_time: watch::Sender::new(None),
             effective: ArcSwapOption::empty(),
             platform_state: Mutex::new(platform),
             route_latencies: Mutex::default(),
@@ -265,6 +271,12 @@
         self.readiness.set(false);
     }
 
+    /// Announces that the process ends after `time`, so that requests end with an answer before it does.
+    pub fn set_stop_time(&self, time: Duration) {
+        let answer_by = Instant::now() + time.saturating_sub(STOP_MARGIN);
+        self.stop_time.send_replace(Some(answer_by));
+    }
+
     /// Removes the latencies and throttles of routes that the new configuration does not contain, so that memory stays
     /// bounded. Budgets of services are kept, since their windows span changes of the configuration.
     fn remove_unused(&self, routing: &Routing) {
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -165,8 +165,12 @@
 
     pub(super) async fn run(mut self) -> CallerAnswer {
         let mut running: FuturesUnordered<BoxFuture<'static, AttemptResult>> = FuturesUnordered::new();
+        let mut stop_time = self.gateway.stop_time.subscribe();
         let decision = loop {
             let now = Instant::now();
+            if let Some(end) = *stop_time.borrow_and_update() {
+                self.fanout.limit_end(end);
+            }
             if self.is_likely_cause() {
                 self.fanout.abort();
                 // Servers drop a request whose connection closes, so those that have not crashed yet may be spared.
@@ -185,6 +189,7 @@
             tokio::select! {
                 Some(result) = running.next(), if !running.is_empty() => self.on_attempt_end(result),
                 () = tokio::time::sleep_until(until.into()) => {}
+                Ok(()) = stop_time.changed() => {}
             }
         };
         if !running.is_empty() {
--- a/src/process/gateway/metrics.rs
+++ b/src/process/gateway/metrics.rs
@@ -19,7 +19,7 @@
     /// Service of the request, or that of the first shard; empty if the request was not forwarded.
     pub(crate) service: String,
     /// `ok`, `partial`, `passed`, `refused`, `failed`, `timed_out`, `caller_left`, `turned_away`,
-    /// `quarantined`, `starting`, `no_route` or `malformed`.
+    /// `quarantined`, `stopping`, `starting`, `no_route` or `malformed`.
     pub(crate) outcome: &'static str,
 }
 
--- a/src/process/gateway/program.rs
+++ b/src/process/gateway/program.rs
@@ -90,8 +90,9 @@
             drain::Action::CloseListener => {
                 self.phase.send_replace(ServePhase::Finishing);
             }
-            // An ending HTTP server closes idle connections itself, and a gateway has no peers to notify.
-            drain::Action::CloseIdle | drain::Action::SendGoAway { .. } | drain::Action::Exit(_) => {}
+            drain::Action::SendGoAway { drain } => self.gateway.set_stop_time(drain),
+            // An ending HTTP server closes idle connections itself.
+            drain::Action::CloseIdle | drain::Action::Exit(_) => {}
         }
     }
 }
--- a/src/process/gateway/request.rs
+++ b/src/process/gateway/request.rs
@@ -3,6 +3,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use http::HeaderValue;
@@ -26,11 +27,15 @@
 use crate::process::gateway::log_quota::LogTopic;
 use crate::process::quarantine::Admission;
 use crate::request::fingerprint::Fingerprint;
+use crate::version::routing::Route;
 
 /// `Retry-After` time of requests that were turned away, as the range of shares of the objective from which it is
 /// drawn. The admitted share changes within that time.
 const OVERLOAD_RETRY_SHARES: Range<f64> = 0.5..1.5;
 
+/// Time that a request which must run only once may need, as a multiple of its objective.
+const ONCE_FACTOR: u32 = 4;
+
 /// Counts a request as in flight until it is dropped.
 struct InFlightGuard(Arc<Gateway>);
 
@@ -85,6 +90,16 @@
     }
 }
 
+/// Returns the time that must be left before a planned stop ends for a request to be passed on. A caller can repeat most
+/// requests at another instance if their answer comes too late, but not those that must run only once.
+fn time_needed(route: &Route) -> Duration {
+    if route.idempotent {
+        route.target_latency
+    } else {
+        route.target_latency.saturating_mul(ONCE_FACTOR)
+    }
+}
+
 async fn admit(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
@@ -112,7 +127,15 @@
         ));
     };
     let deadline = head::parse_millis(request.headers(), &gateway.header_names.remaining_ms);
-    let time_limit = deadline.unwrap_or(route.timeout).min(route.timeout);
+    let mut time_limit = deadline.unwrap_or(route.timeout).min(route.timeout);
+    if let Some(stop_time) = *gateway.stop_time.borrow() {
+        let remaining = stop_time.saturating_duration_since(started);
+        if remaining < time_needed(&route).min(time_limit) {
+            let text = "this instance stops; the request has not run, and another instance takes it\n";
+            return Err(Refusal::new("stopping", answer::not_run(text, Duration::ZERO)));
+        }
+        time_limit = time_limit.min(remaining);
+    }
     let (head, body) = request.into_parts();
     let limit = effective.routing.limits.body_bytes;
     let reading = Limited::new(body, limit).collect();
--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -222,6 +222,11 @@
         self.end
     }
 
+    /// Makes the request end at `end` if it would end later.
+    pub fn limit_end(&mut self, end: Instant) {
+        self.end = self.end.min(end);
+    }
+
     /// Returns the number of parts without an answer so far.
     #[must_use]
     pub const fn missing(&self) -> usize {
