--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -121,7 +121,8 @@
     /// The deadline passed before the request was sent.
     #[error("the deadline passed before the request was sent")]
     NoTimeLeft,
-    /// The response is malformed or too large. The request may have run.
+    /// The connection closed before the request was written, or the response is malformed or too large. The request may
+    /// have run.
     #[error("connection failed: {0}")]
     Broken(Box<str>),
     /// The server closed or reset the connection before the end of the response. The request may have run.
--- a/src/process/backends.rs
+++ b/src/process/backends.rs
@@ -29,6 +29,9 @@
 use crate::ids::SearcherId;
 use crate::ids::ServiceId;
 use crate::process::backends::server_state::ServerState;
+use crate::process::ownership::rank;
+use crate::process::ownership::rank::NameHash;
+use crate::process::quarantine::ServerKey;
 
 /// Entry of a backend server on the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,6 +55,12 @@
 }
 
 impl BackendEntry {
+    /// Returns the key of this incarnation of the server, which is the same at all instances.
+    #[must_use]
+    pub fn key(&self) -> ServerKey {
+        rank::mix(NameHash::of(&self.id).0 ^ rank::mix(self.started_ms))
+    }
+
     /// Returns whether both entries belong to the same incarnation of a server.
     fn is_same_incarnation(&self, other: &Self) -> bool {
         self.started_ms == other.started_ms && self.address == other.address && self.service == other.service
--- a/src/process/backends/selection.rs
+++ b/src/process/backends/selection.rs
@@ -8,10 +8,13 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::process::backends::Backend;
 use crate::process::backends::server_state::ServerState;
 use crate::process::gossip::InstanceCount;
+use crate::process::quarantine;
+use crate::process::quarantine::TrialLimits;
 use crate::request::fanout::MAX_WAIT_SHARE;
 use crate::request::fanout::ServerIndex;
 
@@ -131,6 +134,28 @@
     servers.iter().filter_map(|server| server.state().available_at()).min()
 }
 
+/// Chooses the part that a request which may crash servers is tried with, given the servers of each part. Load pattern:
+/// the servers are needed by other requests, and a trial can crash one of them. The service must have
+/// [`TrialLimits::min_available`] servers, or all that it has, so that others are left. The choice is random, so that trials
+/// at several instances rarely share a server, and cannot be taken for each other.
+#[must_use]
+pub fn trial_part<'a>(
+    parts: impl Iterator<Item = &'a [Arc<Backend>]>,
+    limits: &TrialLimits,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let is_suitable = |servers: &[Arc<Backend>]| {
+        let available = servers.iter().filter(|server| {
+            !limits.crashed.contains(&server.entry.key()) && server.state().is_available(quarantine::DOWN_TIME, now)
+        });
+        let available = available.count();
+        available > 0 && available >= limits.min_available.min(servers.len())
+    };
+    let suitable = parts.enumerate().filter(|(_, servers)| is_suitable(servers));
+    suitable.map(|(part, _)| part).choose(rng)
+}
+
 /// Describes for the log why each server is unavailable: its name, the requests in flight and their limit, and
 /// `leaving`, `held` (Retry-After), `avoided` (after a failure), `rate_limited` or `no_connection` (all connections in
 /// use).
--- a/src/process/backends/server_state.rs
+++ b/src/process/backends/server_state.rs
@@ -143,6 +143,8 @@
     errors_at: Instant,
     load_report: Option<LoadReport>,
     failures: u32,
+    /// Time of the last failure since the last response.
+    failed_at: Option<Instant>,
     /// Number of connections broken since the last response.
     broken: u32,
     avoid_until: Option<Instant>,
@@ -173,6 +175,7 @@
             errors_at: now,
             load_report: None,
             failures: 0,
+            failed_at: None,
             broken: 0,
             avoid_until: None,
             full_until: None,
@@ -207,6 +210,7 @@
     /// Records the latency of a successful response. `usual` is the usual latency of the route.
     pub fn on_response(&mut self, latency: Duration, usual: Option<Duration>, now: Instant) {
         self.failures = 0;
+        self.failed_at = None;
         self.broken = 0;
         self.avoid_until = None;
         self.observe_error(0.0, RESPONSE_WEIGHT, now);
@@ -354,6 +358,7 @@
     pub fn on_failure(&mut self, now: Instant) {
         let time = AVOID_FIRST.saturating_mul(1 << self.failures.min(8)).min(AVOID_MAX);
         self.failures += 1;
+        self.failed_at = Some(now);
         self.avoid_until = Some(now + time);
     }
 
@@ -386,6 +391,15 @@
         }
     }
 
+    /// Returns whether the server may be sent a request now, and has not failed within `time` without a response since.
+    #[must_use]
+    pub fn is_available(&self, time: Duration, now: Instant) -> bool {
+        let has_failed = self
+            .failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < time);
+        !has_failed && !self.is_leaving && !self.is_backing_off(now) && !self.is_avoided(now)
+    }
+
     /// Returns whether the server is avoided because of failures.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/src/process/gateway/forwarding.rs
+++ b/src/process/gateway/forwarding.rs
@@ -206,10 +206,16 @@
     /// Returns the choice for a part if it may not be sent at the moment. Until one server has answered a request, crashes
     /// during it or during others like it suggest that it crashes all servers.
     fn restraint(&self) -> Option<ServerChoice> {
-        if self.is_trial || self.fanout.has_answer() {
+        if self.fanout.has_answer() {
             return None;
         }
-        let is_suspected = self.gateway.is_suspected(self.outgoing.fingerprint);
+        let request = self.outgoing.fingerprint;
+        if self.is_trial {
+            // Another instance's trial may have failed while this one waited for a server.
+            let is_refused = self.sent.is_empty() && self.gateway.is_refused(request, Instant::now());
+            return is_refused.then_some(ServerChoice::NoServer);
+        }
+        let is_suspected = self.gateway.is_suspected(request);
         match (is_suspected, self.crashes > 0, self.fanout.awaits_answer()) {
             (true, _, true) | (_, true, true) => Some(ServerChoice::Hold),
             (true, _, false) => Some(ServerChoice::NoServer),
--- a/src/process/gateway/suspects.rs
+++ b/src/process/gateway/suspects.rs
@@ -8,26 +8,20 @@
 use std::time::Instant;
 
 use futures_util::SinkExt;
-use indexmap::IndexSet;
-use rand::seq::IteratorRandom;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use crate::ids::ServiceId;
-use crate::process::backends::Backend;
 use crate::process::backends::BackendEntry;
 use crate::process::backends::View;
+use crate::process::backends::selection;
 use crate::process::gateway::Gateway;
 use crate::process::gateway::log_quota::LogTopic;
 use crate::process::gateway::roster_exchange::ExchangeError;
-use crate::process::ownership::rank;
-use crate::process::ownership::rank::NameHash;
 use crate::process::quarantine::Admission;
 use crate::process::quarantine::Change;
 use crate::process::quarantine::Quarantine;
-use crate::process::quarantine::ServerKey;
 use crate::request::fingerprint::Fingerprint;
 use crate::version::routing::Target;
 use crate::wire::codec::FrameCodec;
@@ -44,13 +38,6 @@
 /// Maximum time to send news to one instance.
 const SEND_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Source of what an instance learned about a request, for the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    Own,
-    Peer,
-}
-
 impl Gateway {
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
@@ -69,8 +56,9 @@
             return (Admission::Run, None);
         }
         let mut part = None;
-        let admission = quarantine.admit(request, now, |crashed| {
-            part = trial_part(target, view, crashed, now);
+        let admission = quarantine.admit(request, now, |limits| {
+            let parts = target.services().map(|service| view.servers(service));
+            part = selection::trial_part(parts, limits, now, &mut rand::rng());
             part.is_some()
         });
         drop(quarantine);
@@ -81,9 +69,19 @@
             }
             self.quarantine_changed.notify_one();
         }
+        // A request to one of several services has a single part.
+        let part = match target {
+            Target::Shards(_) => part,
+            Target::Single(_) | Target::Split(_) => part.map(|_| 0),
+        };
         (admission, part)
     }
 
+    /// Returns whether a request that arrived now would be refused because of failed trials.
+    pub(super) fn is_refused(&self, request: Fingerprint, now: Instant) -> bool {
+        self.quarantine().is_refused(request, now)
+    }
+
     /// Returns whether a request must not be sent to further servers unless one has answered it.
     pub(super) fn is_suspected(&self, request: Fingerprint) -> bool {
         self.quarantine().is_suspected(request)
@@ -91,9 +89,8 @@
 
     /// Records that a server crashed while it ran a request that no server has answered.
     pub(super) fn on_crash(&self, request: Fingerprint, server: &BackendEntry, is_trial: bool, now: Instant) {
-        let key = server_key(server);
-        let change = self.quarantine().on_crash(request, key, is_trial, now);
-        self.on_suspect_change(request, change, Origin::Own);
+        let change = self.quarantine().on_crash(request, server.key(), is_trial, now);
+        self.on_suspect_change(request, change, true);
     }
 
     /// Records that a server answered a request.
@@ -104,7 +101,7 @@
         }
         let change = quarantine.on_answer(request, now);
         drop(quarantine);
-        self.on_suspect_change(request, change, Origin::Own);
+        self.on_suspect_change(request, change, true);
     }
 
     /// Records that a request ended without the answer of any server.
@@ -125,7 +122,7 @@
         }
         let changes = self.quarantine().on_reports(reports, now);
         for (request, change) in changes {
-            self.on_suspect_change(request, Some(change), Origin::Peer);
+            self.on_suspect_change(request, Some(change), false);
         }
         self.quarantine_changed.notify_one();
     }
@@ -144,10 +141,10 @@
         self.metrics.quarantined_requests.set(quarantined as i64);
     }
 
-    fn on_suspect_change(&self, request: Fingerprint, change: Option<Change>, origin: Origin) {
+    /// Logs and counts a change, and sends it on. `is_own` states whether this instance saw the reason itself.
+    fn on_suspect_change(&self, request: Fingerprint, change: Option<Change>, is_own: bool) {
         let Some(change) = change else { return };
         self.quarantine_changed.notify_one();
-        let is_own = origin == Origin::Own;
         if is_own {
             self.metrics.count_suspect(match change {
                 Change::Suspected => "suspected",
@@ -171,34 +168,6 @@
     }
 }
 
-/// Chooses a part of a request to `target` whose service can lose a server, or `None` if there is none. The choice is
-/// random, so that trials at several instances rarely share a server.
-fn trial_part(target: &Target, view: &View, crashed: &IndexSet<ServerKey>, now: Instant) -> Option<usize> {
-    let has_spare = |service: &ServiceId| {
-        let servers = view.servers(service);
-        let is_up = |server: &&Arc<Backend>| {
-            let state = server.state();
-            !state.is_leaving() && !state.is_avoided(now)
-        };
-        let up = servers.iter().filter(is_up);
-        let up = up
-            .filter(|server| !crashed.contains(&server_key(&server.entry)))
-            .count();
-        up >= 2 || (up == 1 && servers.len() == 1)
-    };
-    let services = target.services().enumerate();
-    let spare = services.filter(|(_, service)| has_spare(service)).map(|(part, _)| part);
-    match target {
-        Target::Single(_) | Target::Split(_) => spare.map(|_| 0).next(),
-        Target::Shards(_) => spare.choose(&mut rand::rng()),
-    }
-}
-
-/// Returns the key of an incarnation of a server.
-fn server_key(server: &BackendEntry) -> ServerKey {
-    rank::mix(NameHash::of(&server.id).0 ^ rank::mix(server.started_ms))
-}
-
 /// Sends news about requests to other instances until the process ends.
 pub(super) async fn send_news(gateway: Arc<Gateway>) {
     loop {
--- a/src/process/ownership/rank.rs
+++ b/src/process/ownership/rank.rs
@@ -3,8 +3,7 @@
 
 use std::cmp::Reverse;
 
-use sha2::Digest as _;
-use sha2::Sha256;
+use crate::version::digest;
 
 /// Key for the election of the readers of the configuration.
 pub const CONFIG_READER: &str = "config-reader";
@@ -17,10 +16,7 @@
     /// Hashes `name`.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        let digest = Sha256::digest(name.as_bytes());
-        let mut first = [0_u8; 8];
-        first.copy_from_slice(&digest[..8]);
-        Self(u64::from_be_bytes(first))
+        Self(digest::leading_number(&digest::sha256(name.as_bytes())))
     }
 }
 
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -1,12 +1,13 @@
 //! Requests that crash the backend servers that run them, and how to treat such a request when it comes again.
 //!
-//! Servers crash for many reasons, and requests that were running at the time are lost together with the one that is to
-//! blame. Three facts tell them apart:
+//! Load pattern: one request crashes each server that runs it, callers send it again at any instance, and a search
+//! reaches a server of each shard before anything is known. Servers crash for many other reasons as well, and all requests
+//! that run at one of them see the crash. Three rules find the request that is the cause:
 //!
-//! * A request that was answered by any server is not to blame. This clears most requests at once, since a search goes
-//!   to many servers and a repeated request to another one.
-//! * A request under which two servers crashed, and that none answered, is suspected. The next time that it comes, it is
-//!   run at a single server as a trial; meanwhile its other arrivals are refused. An answer clears it.
+//! * A request that any server answered is not the cause. This clears most requests at once, since a search goes to many
+//!   servers and a repeated request to another one.
+//! * A request that saw two crashes, and that no server answered, is suspected. The next time that it comes, it is run at a
+//!   single server as a trial; meanwhile its other arrivals are refused. An answer clears it.
 //! * A request whose trial crashed the server as well is in quarantine: it is refused until the next trial is due, after
 //!   two seconds at first and after minutes once a second trial has failed. The crashes that it caused no longer count
 //!   against other requests.
@@ -35,12 +36,31 @@
 /// `Retry-After` time of a request whose trial waits until crashed servers are back.
 const SPARE_RETRY: Duration = Duration::from_secs(1);
 
+/// Maximum time for which a trial waits for a server that can be lost. Servers are back after some seconds; one that is
+/// not may never return.
+const SPARE_WAIT: Duration = Duration::from_secs(10);
+
+/// Time after its crash in which a server counts as down.
+pub const DOWN_TIME: Duration = Duration::from_secs(5);
+
+/// Number of available servers that a service needs for a trial, so that others are left if the trial crashes one.
+const SPARE_SERVERS: usize = 2;
+
 /// Time for which evidence is kept after the last event. It exceeds the longest quarantine.
 const RECORD_TTL: Duration = Duration::from_secs(1800);
 
 /// Identifies one incarnation of a backend server at all instances.
 pub type ServerKey = u64;
 
+/// Requirements on the servers of a trial.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TrialLimits {
+    /// Servers that crashed under the request within [`DOWN_TIME`].
+    pub crashed: Vec<ServerKey>,
+    /// Minimum number of available servers of the service, or all of its servers if it has fewer.
+    pub min_available: usize,
+}
+
 /// How to treat a request that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -112,13 +132,13 @@
     /// Decides how to treat a request that arrives. The caller reports the end of a trial by
     /// [`Quarantine::on_trial_end`] if the server neither answered nor crashed.
     ///
-    /// `has_spare` returns whether a server can be lost in a trial, given those that crashed. A trial at the last server
-    /// of a shard could cost all other requests their answers.
+    /// `can_try` returns whether a server meets the limits. A trial at the last server of a shard could cost all other
+    /// requests their answers.
     pub fn admit(
         &mut self,
         request: Fingerprint,
         now: Instant,
-        has_spare: impl FnOnce(&IndexSet<ServerKey>) -> bool,
+        can_try: impl FnOnce(&TrialLimits) -> bool,
     ) -> Admission {
         let is_trying = self
             .own_trial
@@ -135,7 +155,12 @@
         if is_trying || record.is_in_trial(now) {
             return Admission::Refuse(TRIAL_RETRY);
         }
-        if !has_spare(&record.crashes) {
+        let waited = now.saturating_duration_since(*record.waits_since.get_or_insert(now));
+        let limits = TrialLimits {
+            crashed: record.crashed_within(DOWN_TIME, now),
+            min_available: if waited < SPARE_WAIT { SPARE_SERVERS } else { 1 },
+        };
+        if !can_try(&limits) {
             return Admission::Refuse(SPARE_RETRY);
         }
         self.own_trial = Some((request, now));
@@ -145,6 +170,14 @@
         Admission::Trial
     }
 
+    /// Returns whether a request that arrived now would be refused because of failed trials.
+    #[must_use]
+    pub fn is_refused(&self, request: Fingerprint, now: Instant) -> bool {
+        let record = self.records.get(&request);
+        let until = record.and_then(|record| record.refused_until(self.trial_delay));
+        until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether a request must not be sent to further servers unless one has answered it.
     #[must_use]
     pub fn is_suspected(&self, request: Fingerprint) -> bool {
@@ -159,7 +192,7 @@
         is_trial: bool,
         now: Instant,
     ) -> Option<Change> {
-        if self.is_explained(server, request) {
+        if self.is_caused_by_another(server, request, now) {
             return None;
         }
         let trial_delay = self.trial_delay;
@@ -170,14 +203,14 @@
             return None;
         }
         let until = if is_trial && was_suspected {
-            record.convict(now);
+            record.on_failed_trial(now);
             record.refused_until(trial_delay)
         } else {
             None
         };
         self.own_trial = self.own_trial.filter(|(trial, _)| !is_trial || *trial != request);
         self.news.insert(request);
-        self.explain(request);
+        self.withdraw_caused(request);
         match until {
             Some(until) => Some(Change::Quarantined(until.saturating_duration_since(now))),
             None => (!was_suspected).then_some(Change::Suspected),
@@ -224,25 +257,26 @@
             .retain(|_, record| now.saturating_duration_since(record.updated()) < RECORD_TTL);
     }
 
-    /// Returns whether a crash of `server` was caused by another request than `request`: a convicted one under which no
-    /// fewer servers crashed.
-    fn is_explained(&self, server: ServerKey, request: Fingerprint) -> bool {
+    /// Returns whether a crash of `server` was caused by another request than `request`: one with a failed trial that saw
+    /// no fewer crashes.
+    fn is_caused_by_another(&self, server: ServerKey, request: Fingerprint, now: Instant) -> bool {
         let crashes = self.records.get(&request).map_or(0, |record| record.crashes.len());
         let mut others = self.records.iter().filter(|(other, _)| **other != request);
-        others
-            .any(|(_, other)| other.is_convicted() && other.crashes.contains(&server) && other.crashes.len() >= crashes)
+        others.any(|(_, other)| {
+            other.has_failed_trial() && other.crashes.len() >= crashes && other.has_crash(server, now)
+        })
     }
 
-    /// If a request is convicted, withdraws the crashes that it caused from the evidence about all others. One under which
-    /// more servers crashed is the more likely cause, and keeps its own.
-    fn explain(&mut self, request: Fingerprint) {
-        let Some(convicted) = self.records.get(&request).filter(|record| record.is_convicted()) else {
+    /// Withdraws the crashes that a request with a failed trial caused from the evidence about all others. One that saw
+    /// more crashes is the more likely cause, and keeps its own.
+    fn withdraw_caused(&mut self, request: Fingerprint) {
+        let Some(cause) = self.records.get(&request).filter(|record| record.has_failed_trial()) else {
             return;
         };
-        let crashes = convicted.crashes.clone();
+        let caused = cause.crashes.clone();
         for (other, record) in &mut self.records {
-            if *other != request && !record.is_convicted() && record.crashes.len() <= crashes.len() {
-                record.remove_crashes(&crashes);
+            if *other != request && !record.has_failed_trial() && record.crashes.len() <= caused.len() {
+                record.remove_crashes(&caused);
             }
         }
     }
--- a/src/process/quarantine/record.rs
+++ b/src/process/quarantine/record.rs
@@ -3,17 +3,23 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use indexmap::IndexSet;
-
 use crate::process::quarantine::ServerKey;
 
-/// Number of crashed servers from which a request is suspected. A single crash says nothing: every request that runs at
-/// a crashing server sees it.
+/// Number of crashes from which a request is suspected. A single crash says nothing: every request that runs at a
+/// crashing server sees it.
 const SUSPECT_CRASHES: usize = 2;
 
-/// Maximum number of crashed servers that are kept for one request. More do not change any decision.
+/// Maximum number of crashes that are kept for one request. More do not change any decision.
 pub(super) const MAX_CRASHES: usize = 16;
 
+/// Time within which crashes of one server that are seen by several runs of a request are one crash. A process takes
+/// longer to start again.
+const SAME_CRASH: Duration = Duration::from_millis(200);
+
+/// Time within which crashes of one server that are seen by different requests have the same cause. Instances learn of a
+/// crash at different times.
+const SAME_CAUSE: Duration = Duration::from_secs(1);
+
 /// Time from the start of a trial after which another one may begin although the result of the first is not known.
 pub(super) const TRIAL_TIME: Duration = Duration::from_secs(1);
 
@@ -28,13 +34,30 @@
 /// Maximum time between trials, so that a request is served again soon after the servers are repaired.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(600);
 
-/// Quarantine of a request.
+/// Crash of a server while it ran the request.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Conviction {
-    /// Time of the last failed trial.
+pub(super) struct Crash {
+    pub(super) server: ServerKey,
+    /// Number of earlier crashes of the same server under the request. A server that is back may keep its name, and the
+    /// platform may not have told its new start time yet.
+    pub(super) occurrence: u32,
+    /// Time at which this instance learned of the crash.
     pub(super) at: Instant,
-    /// Number of failed trials.
-    pub(super) trials: u32,
+}
+
+impl Crash {
+    fn has_cause_of(&self, other: &Self) -> bool {
+        let apart = self.at.max(other.at) - self.at.min(other.at);
+        self.server == other.server && apart <= SAME_CAUSE
+    }
+}
+
+/// Trials that crashed their server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FailedTrials {
+    pub(super) count: u32,
+    /// Time of the last one.
+    pub(super) last: Instant,
 }
 
 /// Evidence about one request. What all instances know of it is ordered by counters, because times that are passed on as
@@ -43,26 +66,29 @@
 pub(super) struct Record {
     /// Number of times that an answer cleared the request.
     pub(super) epoch: u32,
-    /// Servers that crashed in this epoch.
-    pub(super) crashes: IndexSet<ServerKey>,
+    /// Crashes in this epoch.
+    pub(super) crashes: Vec<Crash>,
     /// Number of trials begun in this epoch, at any instance.
     pub(super) trials: u32,
     /// Start of the last trial, if its result is not known.
     pub(super) trial_at: Option<Instant>,
-    pub(super) conviction: Option<Conviction>,
+    pub(super) failed: Option<FailedTrials>,
+    /// Time since which a trial waits for a server that can be lost.
+    pub(super) waits_since: Option<Instant>,
     /// Whether other instances may know of the request.
     pub(super) is_shared: bool,
     updated: Instant,
 }
 
 impl Record {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) const fn new(now: Instant) -> Self {
         Self {
             epoch: 0,
-            crashes: IndexSet::new(),
+            crashes: Vec::new(),
             trials: 0,
             trial_at: None,
-            conviction: None,
+            failed: None,
+            waits_since: None,
             is_shared: false,
             updated: now,
         }
@@ -72,34 +98,49 @@
         self.updated
     }
 
-    pub(super) fn has_evidence(&self) -> bool {
-        !self.crashes.is_empty() || self.is_convicted()
+    pub(super) const fn has_evidence(&self) -> bool {
+        !self.crashes.is_empty() || self.has_failed_trial()
     }
 
-    pub(super) fn is_suspected(&self) -> bool {
-        self.crashes.len() >= SUSPECT_CRASHES || self.is_convicted()
+    pub(super) const fn is_suspected(&self) -> bool {
+        self.crashes.len() >= SUSPECT_CRASHES || self.has_failed_trial()
     }
 
-    pub(super) const fn is_convicted(&self) -> bool {
-        self.conviction.is_some()
+    pub(super) const fn has_failed_trial(&self) -> bool {
+        self.failed.is_some()
+    }
+
+    /// Returns whether `server` crashed under the request at about `at`.
+    pub(super) fn has_crash(&self, server: ServerKey, at: Instant) -> bool {
+        let crash = Crash {
+            server,
+            occurrence: 0,
+            at,
+        };
+        self.crashes.iter().any(|known| known.has_cause_of(&crash))
+    }
+
+    /// Returns the servers that crashed under the request less than `time` ago.
+    pub(super) fn crashed_within(&self, time: Duration, now: Instant) -> Vec<ServerKey> {
+        let recent = self.crashes.iter();
+        let recent = recent.filter(|crash| now.saturating_duration_since(crash.at) < time);
+        recent.map(|crash| crash.server).collect()
     }
 
     /// Returns a value that is lower the less is lost by removing the record.
     pub(super) fn weight(&self) -> (bool, usize, Instant) {
-        (self.is_convicted(), self.crashes.len(), self.updated)
+        (self.has_failed_trial(), self.crashes.len(), self.updated)
     }
 
     /// Returns the time until which the request is refused, if it is in quarantine. `delay` is the share by which the
     /// trials of this instance come later than they could.
     pub(super) fn refused_until(&self, delay: f64) -> Option<Instant> {
-        let conviction = self.conviction?;
-        let time = match conviction.trials {
+        let failed = self.failed?;
+        let time = match failed.count {
             0 | 1 => CONFIRM_AFTER,
-            trials => RETRY_AFTER
-                .saturating_mul(1 << (trials - 2).min(8))
-                .min(RETRY_AFTER_MAX),
+            count => RETRY_AFTER.saturating_mul(1 << (count - 2).min(8)).min(RETRY_AFTER_MAX),
         };
-        Some(conviction.at + time.mul_f64(1.0 + delay))
+        Some(failed.last + time.mul_f64(1.0 + delay))
     }
 
     pub(super) fn is_in_trial(&self, now: Instant) -> bool {
@@ -110,6 +151,7 @@
     pub(super) const fn begin_trial(&mut self, now: Instant) {
         self.trials = self.trials.saturating_add(1);
         self.trial_at = Some(now);
+        self.waits_since = None;
         self.updated = now;
     }
 
@@ -117,26 +159,45 @@
         self.trial_at = None;
     }
 
-    /// Records the crash of a server. Returns whether it is new.
+    /// Records a crash that this instance saw. Returns whether it is new.
     pub(super) fn add_crash(&mut self, server: ServerKey, now: Instant) -> bool {
-        if self.crashes.len() >= MAX_CRASHES || !self.crashes.insert(server) {
+        let known = self.crashes.iter().filter(|crash| crash.server == server);
+        let last = known.max_by_key(|crash| crash.occurrence);
+        if last.is_some_and(|last| now.saturating_duration_since(last.at) < SAME_CRASH) {
+            return false;
+        }
+        let occurrence = last.map_or(0, |last| last.occurrence.saturating_add(1));
+        self.add_reported_crash(server, occurrence, now)
+    }
+
+    /// Records a crash that another instance reports. Returns whether it is new.
+    pub(super) fn add_reported_crash(&mut self, server: ServerKey, occurrence: u32, now: Instant) -> bool {
+        let is_known = |crash: &Crash| crash.server == server && crash.occurrence == occurrence;
+        if self.crashes.len() >= MAX_CRASHES || self.crashes.iter().any(is_known) {
             return false;
         }
+        self.crashes.push(Crash {
+            server,
+            occurrence,
+            at: now,
+        });
         self.updated = now;
         true
     }
 
-    pub(super) fn remove_crashes(&mut self, explained: &IndexSet<ServerKey>) {
-        self.crashes.retain(|server| !explained.contains(server));
+    /// Removes the crashes that another request caused.
+    pub(super) fn remove_crashes(&mut self, caused: &[Crash]) {
+        self.crashes
+            .retain(|crash| !caused.iter().any(|other| other.has_cause_of(crash)));
     }
 
     /// Records that a trial crashed its server.
-    pub(super) fn convict(&mut self, now: Instant) {
+    pub(super) fn on_failed_trial(&mut self, now: Instant) {
         self.end_trial();
-        let trials = self.conviction.map_or(0, |conviction| conviction.trials);
-        self.conviction = Some(Conviction {
-            at: now,
-            trials: trials.saturating_add(1),
+        let count = self.failed.map_or(0, |failed| failed.count);
+        self.failed = Some(FailedTrials {
+            count: count.saturating_add(1),
+            last: now,
         });
         self.updated = now;
     }
@@ -156,16 +217,15 @@
     }
 
     fn begin_epoch(&mut self, epoch: u32, now: Instant) {
-        self.epoch = epoch;
-        self.crashes.clear();
-        self.trials = 0;
-        self.trial_at = None;
-        self.conviction = None;
-        self.updated = now;
+        *self = Self {
+            epoch,
+            is_shared: self.is_shared,
+            ..Self::new(now)
+        };
     }
 
     /// Takes over the last trial that another instance knows of, and returns whether it is new.
-    pub(super) fn adopt_trial(&mut self, trials: u32, at: Option<Instant>) -> bool {
+    pub(super) const fn adopt_trial(&mut self, trials: u32, at: Option<Instant>) -> bool {
         let is_new = trials > self.trials;
         if is_new {
             self.trials = trials;
@@ -174,13 +234,12 @@
         is_new
     }
 
-    /// Takes over the quarantine that another instance reports, and returns whether it is new.
-    pub(super) fn adopt_conviction(&mut self, reported: Conviction, now: Instant) -> bool {
-        let is_known = self.conviction.is_some_and(|known| known.trials >= reported.trials);
-        if is_known {
+    /// Takes over the failed trials that another instance reports, and returns whether there are more of them.
+    pub(super) fn adopt_failed(&mut self, reported: FailedTrials, now: Instant) -> bool {
+        if self.failed.is_some_and(|known| known.count >= reported.count) {
             return false;
         }
-        self.conviction = Some(reported);
+        self.failed = Some(reported);
         self.end_trial();
         self.updated = now;
         true
--- a/src/process/quarantine/report.rs
+++ b/src/process/quarantine/report.rs
@@ -9,8 +9,7 @@
 use crate::process::quarantine::Change;
 use crate::process::quarantine::Quarantine;
 use crate::process::quarantine::RECORD_TTL;
-use crate::process::quarantine::ServerKey;
-use crate::process::quarantine::record::Conviction;
+use crate::process::quarantine::record::FailedTrials;
 use crate::process::quarantine::record::MAX_CRASHES;
 use crate::process::quarantine::record::Record;
 use crate::request::fingerprint::Fingerprint;
@@ -66,29 +65,33 @@
             let age = Some(Duration::from_micros(age_us)).filter(|age| *age <= RECORD_TTL);
             age.and_then(|age| now.checked_sub(age))
         };
-        let crashes = report.crashes.iter().take(MAX_CRASHES).copied();
-        let crashes: Vec<ServerKey> = crashes.filter(|server| !self.is_explained(*server, request)).collect();
+        if !self.records.contains_key(&request) && report.crashes.is_empty() && report.failed_trials == 0 {
+            return None;
+        }
+        let crashes = report.crashes.iter().take(MAX_CRASHES);
+        let crashes = crashes.filter(|crash| !self.is_caused_by_another(crash.server, request, now));
+        let crashes: Vec<&proto::ServerCrash> = crashes.collect();
         let trial_delay = self.trial_delay;
         let record = self.record(request, now);
         if report.epoch < record.epoch {
             return None;
         }
         record.is_shared = true;
-        let before = (record.is_suspected(), record.is_convicted());
+        let before = (record.is_suspected(), record.has_failed_trial());
         let mut is_news = record.adopt_epoch(report.epoch, now);
-        for server in crashes {
-            is_news |= record.add_crash(server, now);
+        for crash in crashes {
+            is_news |= record.add_reported_crash(crash.server, crash.occurrence, now);
         }
         is_news |= record.adopt_trial(report.trials, report.trial_age_us.and_then(at));
-        let trials = report.failed_trials;
-        if let Some(at) = at(report.failed_age_us).filter(|_| trials > 0) {
-            is_news |= record.adopt_conviction(Conviction { at, trials }, now);
+        let count = report.failed_trials;
+        if let Some(last) = at(report.failed_age_us).filter(|_| count > 0) {
+            is_news |= record.adopt_failed(FailedTrials { count, last }, now);
         }
-        let after = (record.is_suspected(), record.is_convicted());
+        let after = (record.is_suspected(), record.has_failed_trial());
         let refused_until = record.refused_until(trial_delay);
         if is_news {
             self.news.insert(request);
-            self.explain(request);
+            self.withdraw_caused(request);
         }
         match (before, after) {
             ((_, false), (_, true)) => {
@@ -103,13 +106,17 @@
 
 fn report(request: Fingerprint, record: &Record, now: Instant) -> proto::SuspectRequest {
     let age = |at: Instant| u64::try_from(now.saturating_duration_since(at).as_micros()).unwrap_or(u64::MAX);
+    let crashes = record.crashes.iter().map(|crash| proto::ServerCrash {
+        server: crash.server,
+        occurrence: crash.occurrence,
+    });
     proto::SuspectRequest {
         fingerprint: request.0,
         epoch: record.epoch,
-        crashes: record.crashes.iter().copied().collect(),
+        crashes: crashes.collect(),
         trials: record.trials,
         trial_age_us: record.trial_at.map(age),
-        failed_trials: record.conviction.map_or(0, |conviction| conviction.trials),
-        failed_age_us: record.conviction.map_or(0, |conviction| age(conviction.at)),
+        failed_trials: record.failed.map_or(0, |failed| failed.count),
+        failed_age_us: record.failed.map_or(0, |failed| age(failed.last)),
     }
 }
--- a/src/request/fingerprint.rs
+++ b/src/request/fingerprint.rs
@@ -11,6 +11,8 @@
 use sha2::Digest as _;
 use sha2::Sha256;
 
+use crate::version::digest;
+
 /// Hash of the method, the host, the path and query, the credentials of the caller, and the body. All instances must
 /// compute the same hash.
 ///
@@ -40,10 +42,7 @@
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
-        let digest = hasher.finalize();
-        let mut first = [0_u8; 8];
-        first.copy_from_slice(&digest[..8]);
-        Self(u64::from_be_bytes(first))
+        Self(digest::leading_number(&hasher.finalize().into()))
     }
 }
 
--- a/src/version/digest.rs
+++ b/src/version/digest.rs
@@ -29,6 +29,13 @@
     Sha256::digest(bytes).into()
 }
 
+/// Returns the first 8 bytes of a digest as a number.
+#[must_use]
+pub const fn leading_number(digest: &Digest) -> u64 {
+    let [a, b, c, d, e, f, g, h, ..] = *digest;
+    u64::from_be_bytes([a, b, c, d, e, f, g, h])
+}
+
 /// Returns the digest of the fields that affect connections to a searcher.
 ///
 /// Connections are reopened only when this digest changes.
--- a/src/wire/pimento.rs
+++ b/src/wire/pimento.rs
@@ -470,7 +470,7 @@
     pub requests: ::prost::alloc::vec::Vec<SuspectRequest>,
 }
 /// All that the sender knows about a request under which backend servers crashed.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SuspectRequest {
     /// First 8 bytes of the hash of the request's content.
     #[prost(fixed64, tag = "1")]
@@ -478,9 +478,9 @@
     /// Number of times that an answer cleared the request. A report with a higher number replaces those with lower ones.
     #[prost(uint32, tag = "2")]
     pub epoch: u32,
-    /// Servers that crashed under the request since it was last cleared: hashes of their names and start times.
-    #[prost(fixed64, repeated, tag = "3")]
-    pub crashes: ::prost::alloc::vec::Vec<u64>,
+    /// Crashes under the request since it was last cleared.
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<ServerCrash>,
     /// Number of trials that were begun since then.
     #[prost(uint32, tag = "4")]
     pub trials: u32,
@@ -494,6 +494,15 @@
     #[prost(uint64, tag = "7")]
     pub failed_age_us: u64,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerCrash {
+    /// Hash of the name and the start time of the server.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// Number of earlier crashes of the same server under the request.
+    #[prost(uint32, tag = "2")]
+    pub occurrence: u32,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OutdatedEntry {
     #[prost(string, tag = "1")]
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use indexmap::IndexSet;
 use pimentoflow::process::quarantine::Admission;
 use pimentoflow::process::quarantine::Change;
 use pimentoflow::process::quarantine::MAX_RECORDS;
 use pimentoflow::process::quarantine::Quarantine;
+use pimentoflow::process::quarantine::TrialLimits;
 use pimentoflow::request::fingerprint::Fingerprint;
 use pimentoflow::wire::proto;
 use rand::Rng;
@@ -15,27 +15,27 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
-const CULPRIT: Fingerprint = Fingerprint(1);
+const CRASHING: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-/// Returns a quarantine that suspects the culprit after crashes of servers 1 and 2.
+/// Returns a quarantine that suspects the crashing request after crashes of servers 1 and 2.
 fn suspecting(now: Instant) -> Quarantine {
     let mut quarantine = Quarantine::new(0.0);
-    assert_eq!(quarantine.on_crash(CULPRIT, 1, false, now), None);
-    assert_eq!(quarantine.on_crash(CULPRIT, 2, false, now), Some(Change::Suspected));
+    assert_eq!(quarantine.on_crash(CRASHING, 1, false, now), None);
+    assert_eq!(quarantine.on_crash(CRASHING, 2, false, now), Some(Change::Suspected));
     quarantine
 }
 
-/// Returns a quarantine that refuses the culprit after trials that crashed servers 3 and 4.
-fn convicting(now: Instant) -> Quarantine {
+/// Returns a quarantine that refuses the crashing request after trials that crashed servers 3 and 4.
+fn quarantining(now: Instant) -> Quarantine {
     let mut quarantine = suspecting(now - ms(2000));
     for (server, now) in [(3, now - ms(2000)), (4, now)] {
-        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
-        let change = quarantine.on_crash(CULPRIT, server, true, now);
+        assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
+        let change = quarantine.on_crash(CRASHING, server, true, now);
         assert!(matches!(change, Some(Change::Quarantined(_))));
     }
     quarantine
@@ -48,8 +48,8 @@
     let now = Instant::now();
     let mut quarantine = Quarantine::new(0.0);
     for _ in 0..5 {
-        quarantine.on_crash(CULPRIT, 1, false, now);
-        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Run);
+        quarantine.on_crash(CRASHING, 1, false, now);
+        assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Run);
     }
     assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Run);
 }
@@ -59,12 +59,12 @@
 fn a_suspected_request_runs_as_one_trial_at_a_time() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
-    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
-    assert!(matches!(quarantine.admit(CULPRIT, now + ms(100), |_| true), Admission::Refuse(time) if time < ms(1000)));
-    quarantine.on_trial_end(CULPRIT);
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(200), |_| true), Admission::Trial);
+    assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
+    assert!(matches!(quarantine.admit(CRASHING, now + ms(100), |_| true), Admission::Refuse(time) if time < ms(1000)));
+    quarantine.on_trial_end(CRASHING);
+    assert_eq!(quarantine.admit(CRASHING, now + ms(200), |_| true), Admission::Trial);
     // The result of the trial was lost, for example with the instance that made it.
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(5000), |_| true), Admission::Trial);
+    assert_eq!(quarantine.admit(CRASHING, now + ms(5000), |_| true), Admission::Trial);
 }
 
 /// Guards against a quarantine for crashes of one moment, which a frequent request sees at several servers.
@@ -73,29 +73,71 @@
     let now = Instant::now();
     let mut quarantine = suspecting(now);
     for server in 3..10 {
-        assert_eq!(quarantine.on_crash(CULPRIT, server, false, now), None);
+        assert_eq!(quarantine.on_crash(CRASHING, server, false, now), None);
     }
     assert_eq!(quarantine.quarantined(now), 0);
-    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
+    assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
 }
 
-/// Guards against a trial that takes the last server of a shard, and against two trials that may share a server. If it
-/// crashes, both requests would be refused.
+/// Guards against a trial that takes the last server of a shard, against one that waits for a server that never returns,
+/// and against two trials that may share a server. If it crashes, both requests would be refused.
 #[test]
 fn trials_wait_for_each_other_and_for_a_spare_server() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
     quarantine.on_crash(OTHER, 1, false, now);
     quarantine.on_crash(OTHER, 2, false, now);
+    let spare = TrialLimits {
+        crashed: vec![1, 2],
+        min_available: 2,
+    };
+    assert!(matches!(
+        quarantine.admit(CRASHING, now, |limits| *limits != spare),
+        Admission::Refuse(_)
+    ));
+    let any = TrialLimits {
+        crashed: Vec::new(),
+        min_available: 1,
+    };
+    let later = now + ms(10_000);
     assert!(matches!(
-        quarantine.admit(CULPRIT, now, |_| false),
+        quarantine.admit(CRASHING, later, |_| false),
         Admission::Refuse(_)
     ));
-    let has_spare = |crashed: &IndexSet<u64>| crashed.contains(&1) && crashed.len() == 2;
-    assert_eq!(quarantine.admit(CULPRIT, now, has_spare), Admission::Trial);
-    assert!(matches!(quarantine.admit(OTHER, now, |_| true), Admission::Refuse(_)));
-    quarantine.on_answer(CULPRIT, now + ms(20));
-    assert_eq!(quarantine.admit(OTHER, now + ms(20), |_| true), Admission::Trial);
+    assert_eq!(
+        quarantine.admit(CRASHING, later, |limits| *limits == any),
+        Admission::Trial
+    );
+    assert!(matches!(quarantine.admit(OTHER, later, |_| true), Admission::Refuse(_)));
+    quarantine.on_answer(CRASHING, later + ms(20));
+    assert_eq!(quarantine.admit(OTHER, later + ms(20), |_| true), Admission::Trial);
+}
+
+/// Guards against a request that crashes the only server of a service again and again, which keeps its name and whose new
+/// start time is not known yet, and against one crash that counts several times since several runs saw it.
+#[test]
+fn crashes_of_one_server_count_once_each() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(0.0);
+    for run in 0..4 {
+        quarantine.on_crash(CRASHING, 1, false, now + ms(run));
+    }
+    assert_eq!(quarantine.admit(CRASHING, now + ms(10), |_| true), Admission::Run);
+    assert_eq!(
+        quarantine.on_crash(CRASHING, 1, false, now + ms(3000)),
+        Some(Change::Suspected)
+    );
+}
+
+/// Guards against a trial that was admitted before another instance's trial failed, and is sent after it.
+#[test]
+fn a_quarantined_request_is_refused_also_if_it_was_admitted_before() {
+    let now = Instant::now();
+    let mut waiting = suspecting(now);
+    assert_eq!(waiting.admit(CRASHING, now, |_| true), Admission::Trial);
+    assert!(!waiting.is_refused(CRASHING, now));
+    waiting.on_reports(&quarantining(now).reports(now), now + ms(1));
+    assert!(waiting.is_refused(CRASHING, now + ms(1)));
 }
 
 /// Guards against a request that escapes since another one, which was running at some of the same servers, is
@@ -105,15 +147,15 @@
     let now = Instant::now();
     let mut quarantine = suspecting(now);
     for server in 3..12 {
-        quarantine.on_crash(CULPRIT, server, false, now);
+        quarantine.on_crash(CRASHING, server, false, now);
     }
     quarantine.on_crash(OTHER, 1, false, now);
     quarantine.on_crash(OTHER, 2, false, now);
     assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Trial);
     quarantine.on_crash(OTHER, 3, true, now);
-    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
+    assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
     assert!(matches!(
-        quarantine.on_crash(CULPRIT, 12, true, now),
+        quarantine.on_crash(CRASHING, 12, true, now),
         Some(Change::Quarantined(_))
     ));
 }
@@ -124,12 +166,12 @@
 fn an_answer_clears_a_request() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
-    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
-    assert_eq!(quarantine.on_answer(CULPRIT, now + ms(20)), Some(Change::Cleared));
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(20), |_| true), Admission::Run);
-    let mut quarantine = convicting(now);
-    assert_eq!(quarantine.on_answer(CULPRIT, now + ms(20)), Some(Change::Cleared));
-    assert_eq!(quarantine.admit(CULPRIT, now + ms(20), |_| true), Admission::Run);
+    assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
+    assert_eq!(quarantine.on_answer(CRASHING, now + ms(20)), Some(Change::Cleared));
+    assert_eq!(quarantine.admit(CRASHING, now + ms(20), |_| true), Admission::Run);
+    let mut quarantine = quarantining(now);
+    assert_eq!(quarantine.on_answer(CRASHING, now + ms(20)), Some(Change::Cleared));
+    assert_eq!(quarantine.admit(CRASHING, now + ms(20), |_| true), Admission::Run);
 }
 
 /// Guards against a quarantine that ends while the request still crashes servers, and against one that never ends.
@@ -137,22 +179,22 @@
 fn trials_become_rarer_with_each_one_that_fails() {
     let start = Instant::now();
     let mut quarantine = suspecting(start);
-    assert_eq!(quarantine.admit(CULPRIT, start, |_| true), Admission::Trial);
-    quarantine.on_crash(CULPRIT, 3, true, start);
+    assert_eq!(quarantine.admit(CRASHING, start, |_| true), Admission::Trial);
+    quarantine.on_crash(CRASHING, 3, true, start);
     let mut now = start;
     let mut times = Vec::new();
     for server in 10..17 {
-        let Admission::Refuse(time) = quarantine.admit(CULPRIT, now, |_| true) else {
+        let Admission::Refuse(time) = quarantine.admit(CRASHING, now, |_| true) else {
             panic!("admitted {:?} after the last trial", now - start);
         };
         times.push(time.as_secs());
         assert!(matches!(
-            quarantine.admit(CULPRIT, now + time - ms(1), |_| true),
+            quarantine.admit(CRASHING, now + time - ms(1), |_| true),
             Admission::Refuse(_)
         ));
         now += time;
-        assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
-        quarantine.on_crash(CULPRIT, server, true, now);
+        assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
+        quarantine.on_crash(CRASHING, server, true, now);
     }
     assert_eq!(times, [2, 60, 120, 240, 480, 600, 600]);
 }
@@ -164,8 +206,8 @@
     let mut quarantine = suspecting(now);
     quarantine.on_crash(OTHER, 1, false, now);
     assert_eq!(quarantine.on_crash(OTHER, 2, false, now), Some(Change::Suspected));
-    assert_eq!(quarantine.admit(CULPRIT, now, |_| true), Admission::Trial);
-    quarantine.on_crash(CULPRIT, 3, true, now);
+    assert_eq!(quarantine.admit(CRASHING, now, |_| true), Admission::Trial);
+    quarantine.on_crash(CRASHING, 3, true, now);
     assert_eq!(quarantine.admit(OTHER, now, |_| true), Admission::Run);
     // The report of its crash may come after the quarantine.
     quarantine.on_crash(OTHER, 3, false, now);
@@ -179,26 +221,29 @@
     let now = Instant::now();
     let mut first = Quarantine::new(0.0);
     let mut second = Quarantine::new(0.0);
-    first.on_crash(CULPRIT, 1, false, now);
+    first.on_crash(CRASHING, 1, false, now);
     assert!(!first.has_news(), "the request may still be answered");
-    first.on_unanswered(CULPRIT);
+    first.on_unanswered(CRASHING);
     second.on_reports(&first.take_news(now), now + ms(1));
-    assert_eq!(second.admit(CULPRIT, now + ms(2), |_| true), Admission::Run);
-    assert_eq!(second.on_crash(CULPRIT, 2, false, now + ms(3)), Some(Change::Suspected));
+    assert_eq!(second.admit(CRASHING, now + ms(2), |_| true), Admission::Run);
+    assert_eq!(
+        second.on_crash(CRASHING, 2, false, now + ms(3)),
+        Some(Change::Suspected)
+    );
     first.on_reports(&second.take_news(now + ms(4)), now + ms(4));
-    assert_eq!(first.admit(CULPRIT, now + ms(5), |_| true), Admission::Trial);
+    assert_eq!(first.admit(CRASHING, now + ms(5), |_| true), Admission::Trial);
 }
 
 /// Guards against an instance that runs the request since it was started after the others had seen it crash servers.
 #[test]
 fn a_new_instance_learns_of_the_quarantine() {
     let now = Instant::now();
-    let known = convicting(now);
+    let known = quarantining(now);
     let mut started = Quarantine::new(0.5);
     let later = now + ms(10_000);
     let changes = started.on_reports(&known.reports(later), later);
-    assert!(matches!(changes[..], [(CULPRIT, Change::Quarantined(_))]));
-    let Admission::Refuse(time) = started.admit(CULPRIT, later, |_| true) else {
+    assert!(matches!(changes[..], [(CRASHING, Change::Quarantined(_))]));
+    let Admission::Refuse(time) = started.admit(CRASHING, later, |_| true) else {
         panic!("admitted")
     };
     // Its own trials come later than those of the first, by half of 60 s.
@@ -210,10 +255,10 @@
 #[test]
 fn a_report_that_says_nothing_new_is_not_passed_on() {
     let now = Instant::now();
-    let mut first = convicting(now);
-    first.on_answer(CULPRIT, now + ms(1));
+    let mut first = quarantining(now);
+    first.on_answer(CRASHING, now + ms(1));
     let mut second = Quarantine::new(0.0);
-    let reports = convicting(now).take_news(now);
+    let reports = quarantining(now).take_news(now);
     second.on_reports(&reports, now + ms(2));
     second.take_news(now + ms(2));
     for round in 0..10 {
@@ -221,7 +266,7 @@
         second.on_reports(&first.reports(at), at + ms(15));
         first.on_reports(&second.reports(at + ms(15)), at + ms(30));
     }
-    assert_eq!(second.admit(CULPRIT, now + ms(500), |_| true), Admission::Run);
+    assert_eq!(second.admit(CRASHING, now + ms(500), |_| true), Admission::Run);
     first.take_news(now + ms(500));
     second.take_news(now + ms(500));
     let at = now + ms(600);
@@ -235,11 +280,15 @@
 #[test]
 fn malformed_and_outdated_reports_are_bounded() {
     let now = Instant::now();
-    let mut quarantine = convicting(now);
+    let mut quarantine = quarantining(now);
+    let crash = |server| proto::ServerCrash {
+        server,
+        occurrence: u32::MAX,
+    };
     let mut reports = vec![proto::SuspectRequest {
-        fingerprint: CULPRIT.0,
+        fingerprint: CRASHING.0,
         epoch: 0,
-        crashes: (0..10_000).collect(),
+        crashes: (0..10_000).map(crash).collect(),
         trials: u32::MAX,
         trial_age_us: Some(u64::MAX),
         failed_trials: u32::MAX,
@@ -247,17 +296,20 @@
     }];
     reports.extend((10..10_000).map(|fingerprint| proto::SuspectRequest {
         fingerprint,
-        crashes: vec![1_000 + fingerprint],
+        crashes: vec![crash(1_000 + fingerprint)],
         ..proto::SuspectRequest::default()
     }));
     quarantine.on_reports(&reports, now);
-    assert!(matches!(quarantine.admit(CULPRIT, now, |_| true), Admission::Refuse(_)));
+    assert!(matches!(
+        quarantine.admit(CRASHING, now, |_| true),
+        Admission::Refuse(_)
+    ));
     assert!(quarantine.len() <= 64);
     let mut cleared = suspecting(now);
     let outdated = cleared.take_news(now);
-    cleared.on_answer(CULPRIT, now + ms(1));
+    cleared.on_answer(CRASHING, now + ms(1));
     cleared.on_reports(&outdated, now + ms(2));
-    assert_eq!(cleared.admit(CULPRIT, now + ms(2), |_| true), Admission::Run);
+    assert_eq!(cleared.admit(CRASHING, now + ms(2), |_| true), Admission::Run);
 }
 
 /// Guards against memory that grows with the number of requests under which servers crashed, and against the loss of a
@@ -265,13 +317,13 @@
 #[test]
 fn evidence_is_bounded_and_a_quarantine_outlives_the_rest() {
     let now = Instant::now();
-    let mut quarantine = convicting(now);
+    let mut quarantine = quarantining(now);
     for number in 0..10_000 {
         quarantine.on_crash(Fingerprint(100 + number), 100 + number, false, now + ms(number));
     }
     assert_eq!(quarantine.len(), MAX_RECORDS);
     assert!(matches!(
-        quarantine.admit(CULPRIT, now + ms(10_000), |_| true),
+        quarantine.admit(CRASHING, now + ms(10_000), |_| true),
         Admission::Refuse(_)
     ));
     quarantine.on_tick(now + Duration::from_secs(7200));
@@ -287,11 +339,11 @@
     /// Request, instance, server and end of each run; whether it is a trial, and whether its server has crashed.
     runs: Vec<Run>,
     next_server: u64,
-    culprit_runs: Vec<Instant>,
-    /// Refusals of other requests than the culprit for longer than until a second trial.
+    crashing_runs: Vec<Instant>,
+    /// Refusals of other requests than the crashing request for longer than until a second trial.
     wrong_refusals: u32,
     refusals: u32,
-    innocent_arrivals: u32,
+    other_arrivals: u32,
     rng: SmallRng,
 }
 
@@ -311,29 +363,29 @@
             messages: Vec::new(),
             runs: Vec::new(),
             next_server: 0,
-            culprit_runs: Vec::new(),
+            crashing_runs: Vec::new(),
             wrong_refusals: 0,
             refusals: 0,
-            innocent_arrivals: 0,
+            other_arrivals: 0,
             rng,
         }
     }
 
     fn arrive(&mut self, request: Fingerprint, now: Instant) {
         let instance = self.rng.random_range(0..self.instances.len());
-        let is_culprit = request == CULPRIT;
-        self.innocent_arrivals += u32::from(!is_culprit);
+        let is_crashing = request == CRASHING;
+        self.other_arrivals += u32::from(!is_crashing);
         let is_trial = match self.instances[instance].admit(request, now, |_| true) {
             Admission::Run => false,
             Admission::Trial => true,
             Admission::Refuse(time) => {
-                self.refusals += u32::from(!is_culprit);
-                self.wrong_refusals += u32::from(!is_culprit && time > ms(4000));
+                self.refusals += u32::from(!is_crashing);
+                self.wrong_refusals += u32::from(!is_crashing && time > ms(4000));
                 return;
             }
         };
-        if is_culprit {
-            self.culprit_runs.push(now);
+        if is_crashing {
+            self.crashing_runs.push(now);
         }
         let server = self.rng.random_range(0..30) + 1000 * self.next_server;
         let end = now + ms(self.rng.random_range(5..60));
@@ -348,8 +400,8 @@
 
     /// Ends the runs that are due, and crashes the servers that `crashed` selects together with all their runs.
     fn step(&mut self, now: Instant, crashed: impl Fn(u64) -> bool) {
-        let due_culprits = self.runs.iter().filter(|run| run.request == CULPRIT && run.end <= now);
-        let lost: Vec<u64> = due_culprits.map(|run| run.server).collect();
+        let due = self.runs.iter().filter(|run| run.request == CRASHING && run.end <= now);
+        let lost: Vec<u64> = due.map(|run| run.server).collect();
         for run in std::mem::take(&mut self.runs) {
             let quarantine = &mut self.instances[run.instance];
             if lost.contains(&run.server) || crashed(run.server) {
@@ -392,11 +444,11 @@
 
 /// Load: on each of 10 seeds, 30 instances share 30 servers. Every 250 ms comes a request that crashes the server that
 /// runs it, every 5 ms four of three requests that come often and one that comes once. Each second, a third of the
-/// servers crash at once for another reason. Guards against more than three runs of the culprit after its third crash,
+/// servers crash at once for another reason. Guards against more than three runs of the crashing request after its third crash,
 /// and against the refusal of any other request for longer than a trial takes: 60 ms, and 20 ms for the news, in each
 /// second. One that was running at a server that crashed during its trial waits for a second trial, for 4 s at most.
 #[test]
-fn a_fleet_stops_the_culprit_and_serves_all_others() {
+fn a_fleet_stops_the_crashing_request_and_serves_all_others() {
     for seed in 0..10 {
         let mut fleet = Simulation::new(30, seed);
         let frequent: Vec<Fingerprint> = (10..13).map(Fingerprint).collect();
@@ -404,7 +456,7 @@
         for step in 0..4_000_u64 {
             let now = start + ms(5 * step);
             if step % 50 == 0 {
-                fleet.arrive(CULPRIT, now);
+                fleet.arrive(CRASHING, now);
             }
             for _ in 0..4 {
                 let request = *frequent.choose(&mut fleet.rng).expect("not empty");
@@ -416,10 +468,10 @@
             let rack = fleet.rng.random_range(0..3);
             fleet.step(now, |server| step % 200 == 100 && server % 3 == rack);
         }
-        let runs = fleet.culprit_runs.len();
-        assert!(runs <= 3 + 3, "seed {seed}: {runs} runs of the culprit");
+        let runs = fleet.crashing_runs.len();
+        assert!(runs <= 3 + 3, "seed {seed}: {runs} runs of the crashing request");
         assert_eq!(fleet.wrong_refusals, 0, "seed {seed}");
-        let share = f64::from(fleet.refusals) / f64::from(fleet.innocent_arrivals);
+        let share = f64::from(fleet.refusals) / f64::from(fleet.other_arrivals);
         assert!(share <= 0.08, "seed {seed}: {share} of other requests refused");
     }
 }
