gateway: be ready once another instance was asked

An instance that started was ready as soon as it had read the platform. A request that all others refuse ran at its servers once more if it came before the first exchange with a seed.

Readiness waits for the first roster of another instance, in either direction, for 1 s at most and not at all without seeds.

--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -124,6 +125,9 @@
     /// Interrupts a waiting read of the platform, so that a new read shows at once whether the platform is reachable.
     pub(crate) read_request: Notify,
     started_at: Instant,
+    /// Whether another instance has told what it knows, or none could be asked. Until then, a request that crashes servers
+    /// would run again.
+    has_asked_peers: AtomicBool,
     /// Time of the last successful read of the platform.
     read_at: Mutex<Option<Instant>>,
     /// Notifies the instances that follow this one when a read of the platform ends.
@@ -184,6 +188,7 @@
             isolation_suspected: Notify::new(),
             read_request: Notify::new(),
             started_at: Instant::now(),
+            has_asked_peers: AtomicBool::new(false),
             read_at: Mutex::new(None),
             read_ended: watch::Sender::new(()),
         };
@@ -322,7 +327,8 @@
     /// Updates the readiness flag for the load balancer.
     fn update_readiness(&self, platform: &PlatformState) {
         let Some(routing) = &platform.routing else { return };
-        let is_ready = platform.has_full_read && !platform.is_stopping && !self.redirects_callers();
+        let is_informed = platform.has_full_read && self.has_asked_peers.load(Ordering::Relaxed);
+        let is_ready = is_informed && !platform.is_stopping && !self.redirects_callers();
         if is_ready != self.readiness.get() {
             info!(self.log, "ready"; "is_ready" => is_ready, "revision" => routing.revision);
             self.readiness.set(is_ready);
--- a/src/process/gateway/roster_exchange.rs
+++ b/src/process/gateway/roster_exchange.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +34,10 @@
 /// Timeout of one exchange. It covers many round trips, and an unresponsive partner costs only one round.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time after the start in which an instance waits for the answer of another one before it is ready. When all instances
+/// start at once, the first exchanges may fail.
+const PEERS_WAIT: Duration = Duration::from_secs(1);
+
 /// Time for which a connection waits for the next request of the instance that opened it.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -94,6 +99,7 @@
         }
         self.on_peer_limits(&roster.limits, now);
         self.on_peer_suspects(&roster.suspects, now);
+        self.on_peers_asked();
         let position = roster_position(&roster);
         if let Some(stored) = roster.configuration {
             self.on_relayed_configuration(stored.into());
@@ -124,6 +130,14 @@
         next
     }
 
+    /// Records that another instance has told what it knows, or that none could be asked.
+    fn on_peers_asked(&self) {
+        if !self.has_asked_peers.swap(true, Ordering::Relaxed) {
+            let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
+            self.update_readiness(&platform);
+        }
+    }
+
     fn on_instances(&self, before: InstanceCount, count: InstanceCount) {
         info!(self.log, "instances"; "before" => before.all, "all" => count.all, "local" => count.local);
         let platform = self.platform_state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -154,6 +168,9 @@
                 info!(gateway.log, "exchange_failed"; "partner" => %partner, "error" => error);
             }
         }
+        if partner.is_none() || gateway.started_at.elapsed() >= PEERS_WAIT {
+            gateway.on_peers_asked();
+        }
         tokio::time::sleep(interval.mul_f64(rng.random_range(0.8..1.2))).await;
     }
 }
