--- a/crates/local-deployment/tests/testsuite/interface.rs
+++ b/crates/local-deployment/tests/testsuite/interface.rs
@@ -3,7 +3,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eyre::Result;
@@ -235,15 +234,15 @@
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let server = HttpServer::bind(address, Handler::Routes(Arc::new(routes)), limits, log::discard()).await?;
     let bound = server.local_addr()?;
-    let open = server.open_connections();
+    let counts = server.counts();
     let (_phase, serving) = watch::channel(ServePhase::Serving);
     tokio::spawn(server.serve(serving));
     let mut caller = TcpStream::connect(bound).await?;
     caller.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await?;
-    while open.load(Ordering::Relaxed) == 0 {
+    while counts.open() == 0 {
         tokio::task::yield_now().await;
     }
-    while open.load(Ordering::Relaxed) > 0 {
+    while counts.open() > 0 {
         tokio::task::yield_now().await;
     }
     Ok(())
