tests: choice of the server for a trial

The choice of the part and the wait for a server to spare had tests only through processes, which do not reach a single server or one that leaves.

--- a/tests/testsuite/fanout.rs
+++ b/tests/testsuite/fanout.rs
@@ -31,6 +31,14 @@
     }
 }
 
+/// Limits of a search that is tried with one part first.
+fn trial_search(part: usize) -> Limits {
+    Limits {
+        trial: Some(part),
+        ..search()
+    }
+}
+
 /// Limits of a request that is forwarded to one service.
 fn single(repeatable: bool) -> Limits {
     Limits {
@@ -371,11 +379,7 @@
 #[test]
 fn other_parts_wait_for_the_answer_of_a_trial() {
     let now = Instant::now();
-    let limits = Limits {
-        trial: Some(3),
-        ..search()
-    };
-    let mut fanout = Fanout::new(limits, now);
+    let mut fanout = Fanout::new(trial_search(3), now);
     let trial = PartSend {
         part: 3,
         server: 0,
@@ -394,11 +398,7 @@
 #[test]
 fn a_trial_ends_with_its_server() {
     let now = Instant::now();
-    let limits = Limits {
-        trial: Some(0),
-        ..search()
-    };
-    let mut fanout = Fanout::new(limits, now);
+    let mut fanout = Fanout::new(trial_search(0), now);
     fanout.advance(now, first_untried);
     fanout.on_attempt_end(0, AttemptOutcome::Unsent, now + ms(1));
     let resend = fanout.advance(now + ms(1), first_untried);
@@ -413,7 +413,7 @@
     fanout.on_attempt_end(0, AttemptOutcome::Crashed, now + ms(20));
     assert!(fanout.advance(now + ms(20), first_untried).is_empty());
     assert_eq!(fanout.decision(now + ms(20)), Decision::Fail(PartFailure::Failed));
-    let mut unsent = Fanout::new(limits, now);
+    let mut unsent = Fanout::new(trial_search(0), now);
     assert!(unsent.advance(now, |_, _, _| ServerChoice::NoServer).is_empty());
     assert!(matches!(unsent.decision(now), Decision::Refuse(_)));
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,5 +42,6 @@
 mod search_run;
 mod settings;
 mod submissions;
+mod trials;
 mod units;
 mod validation;
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -143,7 +143,7 @@
 /// Guards against a request that escapes since another one, which was running at some of the same servers, is
 /// quarantined first. The one under which the most servers crashed is the likely cause.
 #[test]
-fn a_request_with_fewer_crashes_does_not_explain_those_of_another() {
+fn crashes_of_a_request_with_more_of_them_still_count() {
     let now = Instant::now();
     let mut quarantine = suspecting(now);
     for server in 3..12 {
