gateway-soak: requests that crash servers

At most three of these requests may be run 1.5 s after the third crash or later, by processes that were not disturbed for 1.5 s.

The processes reach the servers directly then: a proxy accepts connections to a server that is down, which looks like a lost answer.

A crashed stand-in server listens again as soon as its port is free; a connection could have it at the first try.

--- a/crates/gateway-soak/src/callers.rs
+++ b/crates/gateway-soak/src/callers.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::crashes::CrashingRequest;
 use crate::fleet::Fleet;
 
 /// Number of concurrent callers of each process.
@@ -35,6 +36,9 @@
 /// Time that a caller waits for an answer when no faults are injected. Only a stalled machine comes close to it.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Share of the crashing request in the requests of a caller.
+const CRASHING_SHARE: f64 = 0.05;
+
 /// Requests that [`probe_all`] sends to each process on each route.
 const PROBE_ROUNDS: usize = 10;
 
@@ -50,7 +54,8 @@
 }
 
 impl Kind {
-    pub const fn path(self) -> &'static str {
+    /// Returns the target of the usual requests.
+    pub const fn target(self) -> &'static str {
         match self {
             Self::All => "/all/q",
             Self::Safe => "/safe/q",
@@ -72,6 +77,7 @@
 pub struct Exchange {
     pub id: String,
     pub kind: Kind,
+    pub target: &'static str,
     /// `None` if the connection ended without an answer or the caller timed out.
     pub answer: Option<Answer>,
     pub sent: Instant,
@@ -80,10 +86,11 @@
 
 impl Exchange {
     /// Creates the record of a request that ends now.
-    fn new(id: String, kind: Kind, answer: Option<Answer>, sent: Instant) -> Self {
+    fn new(call: Call, answer: Option<Answer>, sent: Instant) -> Self {
         Self {
-            id,
-            kind,
+            id: call.id,
+            kind: call.kind,
+            target: call.target,
             answer,
             sent,
             ended: Instant::now(),
@@ -91,6 +98,27 @@
     }
 }
 
+/// Request to send.
+#[derive(Debug, Clone)]
+struct Call {
+    id: String,
+    kind: Kind,
+    target: &'static str,
+    timeout: Duration,
+}
+
+impl Call {
+    /// Creates a usual request of a kind.
+    const fn new(id: String, kind: Kind, timeout: Duration) -> Self {
+        Self {
+            id,
+            kind,
+            target: kind.target(),
+            timeout,
+        }
+    }
+}
+
 /// Returns the exchanges by the ids of their requests.
 pub fn by_id(exchanges: &[Exchange]) -> IndexMap<&str, &Exchange> {
     let named = exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange));
@@ -104,19 +132,15 @@
 }
 
 impl Callers {
-    /// Starts [`CALLERS_PER_PROCESS`] callers for each process.
-    pub fn start(fleet: &Fleet, rng: &mut SmallRng) -> Self {
+    /// Starts [`CALLERS_PER_PROCESS`] callers for each process. Some of their requests are `crashing`, if there is one.
+    pub fn start(fleet: &Fleet, crashing: Option<CrashingRequest>, rng: &mut SmallRng) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let mut tasks = JoinSet::new();
         for (ix, process) in fleet.processes.iter().enumerate() {
             for caller in 0..CALLERS_PER_PROCESS {
                 let rng = SmallRng::from_rng(rng);
-                tasks.spawn(run_caller(
-                    process.callers,
-                    process_prefix(ix) + &format!("c{caller}"),
-                    rng,
-                    Arc::clone(&stop),
-                ));
+                let name = process_prefix(ix) + &format!("c{caller}");
+                tasks.spawn(run_caller(process.callers, name, crashing, rng, Arc::clone(&stop)));
             }
         }
         Self { tasks, stop }
@@ -138,7 +162,13 @@
     format!("p{process}")
 }
 
-async fn run_caller(address: SocketAddr, name: String, mut rng: SmallRng, stop: Arc<AtomicBool>) -> Vec<Exchange> {
+async fn run_caller(
+    address: SocketAddr,
+    name: String,
+    crashing: Option<CrashingRequest>,
+    mut rng: SmallRng,
+    stop: Arc<AtomicBool>,
+) -> Vec<Exchange> {
     let mut exchanges = Vec::new();
     let mut idle = None;
     while !stop.load(Ordering::Relaxed) {
@@ -151,9 +181,14 @@
         } else {
             CALLER_TIMEOUT
         };
+        let mut call = Call::new(id, kind, timeout);
+        if let Some(crashing) = crashing.filter(|_| rng.random_bool(CRASHING_SHARE)) {
+            call.kind = crashing.kind;
+            call.target = crashing.target();
+        }
         let sent = Instant::now();
-        let answer = send(&mut idle, address, &id, kind, timeout).await;
-        exchanges.push(Exchange::new(id, kind, answer, sent));
+        let answer = send(&mut idle, address, &call).await;
+        exchanges.push(Exchange::new(call, answer, sent));
     }
     exchanges
 }
@@ -161,27 +196,21 @@
 type Connection = SendRequest<Full<Bytes>>;
 
 /// Sends a request over the idle connection if it is still usable, or else over a new one.
-async fn send(
-    idle: &mut Option<Connection>,
-    address: SocketAddr,
-    id: &str,
-    kind: Kind,
-    timeout: Duration,
-) -> Option<Answer> {
+async fn send(idle: &mut Option<Connection>, address: SocketAddr, call: &Call) -> Option<Answer> {
     let sending = async {
         let mut connection = match idle.take().filter(SendRequest::is_ready) {
             Some(connection) => connection,
             None => connect(address).await?,
         };
-        let method = if kind == Kind::Unsafe { "POST" } else { "GET" };
+        let method = if call.kind == Kind::Unsafe { "POST" } else { "GET" };
         let request = Request::builder()
             .method(method)
-            .uri(kind.path())
+            .uri(call.target)
             .header("host", "shop.example")
-            .header(values::REQUEST_ID, id)
+            .header(values::REQUEST_ID, &call.id)
             .header(
                 values::REMAINING_MS,
-                timeout.max(CALLER_TIMEOUT).as_millis().to_string(),
+                call.timeout.max(CALLER_TIMEOUT).as_millis().to_string(),
             )
             .body(Full::new(Bytes::from_static(b"body")))
             .ok()?;
@@ -195,7 +224,7 @@
             body,
         })
     };
-    tokio::time::timeout(timeout, sending).await.ok().flatten()
+    tokio::time::timeout(call.timeout, sending).await.ok().flatten()
 }
 
 async fn connect(address: SocketAddr) -> Option<Connection> {
@@ -217,9 +246,10 @@
         for process in &fleet.processes {
             for kind in [Kind::All, Kind::Safe, Kind::Unsafe] {
                 let id = format!("{phase}-{}-{round}-{kind:?}", process.name);
+                let call = Call::new(id, kind, PROBE_TIMEOUT);
                 let sent = Instant::now();
-                let answer = send(&mut None, process.callers, &id, kind, PROBE_TIMEOUT).await;
-                exchanges.push(Exchange::new(id, kind, answer, sent));
+                let answer = send(&mut None, process.callers, &call).await;
+                exchanges.push(Exchange::new(call, answer, sent));
             }
         }
     }
@@ -238,14 +268,13 @@
                 .enqueue([platform_standin::Behaviour::Delayed(Duration::from_millis(500))]);
         }
         let address = fleet.processes[ix].callers;
-        let id = format!("stop-{ix}");
-        let request_id = id.clone();
+        let call = Call::new(format!("stop-{ix}"), Kind::Unsafe, PROBE_TIMEOUT);
+        let request = call.clone();
         let sent = Instant::now();
-        let sending =
-            tokio::spawn(async move { send(&mut None, address, &request_id, Kind::Unsafe, PROBE_TIMEOUT).await });
+        let sending = tokio::spawn(async move { send(&mut None, address, &request).await });
         let has_run = |fleet: &Fleet| {
             let mut requests = fleet.backends.iter().flat_map(|backend| backend.server.executed());
-            requests.any(|request| request.header(values::REQUEST_ID) == Some(&id))
+            requests.any(|request| request.header(values::REQUEST_ID) == Some(&call.id))
         };
         while !has_run(fleet) && !sending.is_finished() {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -253,7 +282,7 @@
         fleet.signal(ix, "TERM").await?;
         let answer = sending.await?;
         let status = fleet.processes[ix].child.wait().await?;
-        let exchange = Exchange::new(id, Kind::Unsafe, answer, sent);
+        let exchange = Exchange::new(call, answer, sent);
         stops.push((exchange, status.code()));
     }
     Ok(stops)
--- a/crates/gateway-soak/src/check.rs
+++ b/crates/gateway-soak/src/check.rs
@@ -23,6 +23,8 @@
     served: usize,
     /// Requests that backend servers ran.
     executions: usize,
+    /// Crashes that a request caused, and its runs after them that were counted.
+    crashes: Option<(usize, usize)>,
 }
 
 impl Findings {
@@ -43,12 +45,23 @@
 
     pub fn summary(&self) -> String {
         let verdict = if self.is_clean() { "ok" } else { "FAILED" };
+        let crashes = self
+            .crashes
+            .map(|(crashes, runs)| format!(", {crashes} crashes and {runs} runs after them"));
         format!(
-            "{verdict}; {} requests, {} served, {} runs at servers",
-            self.requests, self.served, self.executions
+            "{verdict}; {} requests, {} served, {} runs at servers{}",
+            self.requests,
+            self.served,
+            self.executions,
+            crashes.unwrap_or_default()
         )
     }
 
+    /// Adds the counts of the crashes that a request caused.
+    pub const fn add_crashes(&mut self, crashes: usize, runs: usize) {
+        self.crashes = Some((crashes, runs));
+    }
+
     /// Adds a violation of `check` with its description.
     pub fn add(&mut self, check: &str, text: &str) {
         self.violations.push(format!("{check}: {text}"));
@@ -75,10 +88,7 @@
         if exchange.kind == Kind::Unsafe && executions.len() > 1 {
             findings.add("twice", &format!("{} ran {} times", exchange.id, executions.len()));
         }
-        for request in executions
-            .iter()
-            .filter(|request| request.target != exchange.kind.path())
-        {
+        for request in executions.iter().filter(|request| request.target != exchange.target) {
             findings.add("unasked", &format!("{} ran as {}", exchange.id, request.target));
         }
         let Some(answer) = &exchange.answer else { continue };
@@ -213,7 +223,7 @@
             ("twice", Kind::All, _) if executions > 1 => exchange.kind = Kind::Unsafe,
             ("denied", Kind::Unsafe, Some(answer)) => answer.status = 503,
             ("mixed", Kind::All, Some(answer)) => answer.body = answer.body.slice(1..),
-            ("target", Kind::Safe, Some(_)) => exchange.kind = Kind::Unsafe,
+            ("target", Kind::Safe, Some(_)) => exchange.target = Kind::Unsafe.target(),
             ("unasked", _, Some(_)) => exchange.id = format!("x{}", exchange.id),
             _ => continue,
         }
--- a/crates/gateway-soak/src/fleet.rs
+++ b/crates/gateway-soak/src/fleet.rs
@@ -111,6 +111,9 @@
     pub version: u64,
     program: PathBuf,
     dir: PathBuf,
+    /// Whether the processes reach the backend servers without proxies. A proxy accepts connections to a server that has
+    /// crashed.
+    is_direct: bool,
 }
 
 impl Fleet {
@@ -125,6 +128,7 @@
             version: 0,
             program: settings.program.clone(),
             dir: settings.dir.clone(),
+            is_direct: settings.crashes,
         };
         for set in ["a", "b"] {
             for shard in 0..SHARDS {
@@ -171,7 +175,12 @@
     /// Writes the entry of a backend server to the store.
     pub fn write_entry(&self, ix: usize, state: &str) {
         let backend = &self.backends[ix];
-        let mut entry = values::server_entry(&backend.service, backend.proxy.address, state);
+        let address = if self.is_direct {
+            backend.server.address
+        } else {
+            backend.proxy.address
+        };
+        let mut entry = values::server_entry(&backend.service, address, state);
         if let Some(born) = entry["born"].as_u64() {
             entry["born"] = (born + backend.restarts).into();
         }
--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod check;
+mod crashes;
 mod faults;
 mod fleet;
 mod limits;
@@ -22,6 +23,7 @@
 
 use crate::callers::Callers;
 use crate::check::Findings;
+use crate::crashes::CrashInjector;
 use crate::faults::FaultInjector;
 use crate::fleet::Fleet;
 use crate::fleet::READY_TIMEOUT;
@@ -47,8 +49,11 @@
             optional --gateways count: usize
             /// Directory for the logs; those of failed seeds are kept.
             optional --logs dir: PathBuf
+            /// Makes a request crash the servers that run it, and servers crash without it. Their connections have no
+            /// faults then.
+            optional --crashes
             /// Plants a fault in the recorded data to test the checks: `twice`, `denied`, `mixed`, `target`, `unasked`,
-            /// `leaving`, `hold` or `limit`.
+            /// `leaving`, `hold`, `limit` or `crash`.
             optional --plant fault: String
         }
     }
@@ -75,6 +80,7 @@
             gateways: flags.gateways.unwrap_or(3),
             fault_duration: Duration::from_secs(flags.seconds.unwrap_or(12)),
             seed,
+            crashes: flags.crashes,
             planted_fault: flags.plant.as_deref().map(Into::into),
         };
         let findings = runtime.block_on(run(&settings));
@@ -104,6 +110,7 @@
     gateways: usize,
     fault_duration: Duration,
     seed: u64,
+    crashes: bool,
     planted_fault: Option<Box<str>>,
 }
 
@@ -111,7 +118,10 @@
     let mut rng = SmallRng::seed_from_u64(settings.seed);
     let mut fleet = Fleet::start(settings).await?;
     fleet.wait_ready(READY_TIMEOUT).await?;
-    let callers = Callers::start(&fleet, &mut rng);
+    let crash_rng = SmallRng::seed_from_u64(settings.seed.rotate_left(16));
+    let mut crash_injector = settings.crashes.then(|| CrashInjector::start(&fleet, crash_rng));
+    let crashing = crash_injector.as_ref().map(CrashInjector::request);
+    let callers = Callers::start(&fleet, crashing, &mut rng);
     let end = tokio::time::Instant::now() + settings.fault_duration;
     let mut fault_injector = FaultInjector::new(SmallRng::from_rng(&mut rng));
     // With separate generators, notices, limits and restores do not change the other faults of a seed.
@@ -124,6 +134,12 @@
         notice_injector.inject_next(&fleet);
         limit_injector.inject_next(&mut fleet);
         restore_injector.inject_next(&fleet);
+        if let Some(injector) = &mut crash_injector {
+            injector.inject_next(&fleet);
+        }
+    }
+    if crashing.is_some() {
+        crashes::clear(&fleet);
     }
     restore_injector.finish(&mut fleet).await;
     FaultInjector::clear_all(&mut fleet).await?;
@@ -144,6 +160,15 @@
     check::plant_fault(settings.planted_fault.as_deref(), &mut exchanges, &fleet);
     check::check_invariants(&exchanges, &fleet, &mut findings);
     notices::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
+    if let Some(request) = crashing {
+        crashes::check(
+            &exchanges,
+            &fleet,
+            request,
+            settings.planted_fault.as_deref(),
+            &mut findings,
+        );
+    }
     limits::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
     fleet.kill_all().await;
     Ok(findings)
