--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -113,6 +113,22 @@
     assert_eq!(quarantine.admit(OTHER, later + ms(20), |_| true), Admission::Trial);
 }
 
+/// Guards against trials of one request at several instances at once, and against a trial that is awaited forever since its
+/// instance was killed.
+#[test]
+fn a_trial_of_another_instance_is_awaited() {
+    let now = Instant::now();
+    let mut first = suspecting(now);
+    let mut second = Quarantine::new(0.5);
+    assert_eq!(first.admit(CRASHING, now, |_| true), Admission::Trial);
+    second.on_reports(&first.take_news(now), now);
+    assert!(matches!(
+        second.admit(CRASHING, now + ms(100), |_| true),
+        Admission::Refuse(_)
+    ));
+    assert_eq!(second.admit(CRASHING, now + ms(1100), |_| true), Admission::Trial);
+}
+
 /// Guards against a request that crashes the only server of a service again and again, which keeps its name and whose new
 /// start time is not known yet, and against one crash that counts several times since several runs saw it.
 #[test]
