quarantine: try a request a second after the last crash, where most servers are left

A trial now waits for a second after the last crash. By then each instance knows from its own requests which servers are down, and the trial takes a shard with the most available servers. Neither the crashing request nor others lose by it: a request that is suspected comes back a second later.

--- a/src/process/backends/selection.rs
+++ b/src/process/backends/selection.rs
@@ -136,8 +136,9 @@
 
 /// Chooses the part that a request which may crash servers is tried with, given the servers of each part. Load pattern:
 /// the servers are needed by other requests, and a trial can crash one of them. The service must have
-/// [`TrialLimits::min_available`] servers, or all that it has, so that others are left. The choice is random, so that trials
-/// at several instances rarely share a server, and cannot be taken for each other.
+/// [`TrialLimits::min_available`] servers, or all that it has, and one with the most available servers is chosen. Among
+/// those the choice is random, so that trials at several instances rarely share a server, and cannot be taken for each
+/// other.
 #[must_use]
 pub fn trial_part<'a>(
     parts: impl Iterator<Item = &'a [Arc<Backend>]>,
@@ -145,15 +146,18 @@
     now: Instant,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let is_suitable = |servers: &[Arc<Backend>]| {
-        let available = servers.iter().filter(|server| {
-            !limits.crashed.contains(&server.entry.key()) && server.state().is_available(quarantine::DOWN_TIME, now)
-        });
-        let available = available.count();
-        available > 0 && available >= limits.min_available.min(servers.len())
+    let is_available = |server: &&Arc<Backend>| {
+        !limits.crashed.contains(&server.entry.key()) && server.state().is_available(quarantine::DOWN_TIME, now)
     };
-    let suitable = parts.enumerate().filter(|(_, servers)| is_suitable(servers));
-    suitable.map(|(part, _)| part).choose(rng)
+    let counted = parts.enumerate().filter_map(|(part, servers)| {
+        let available = servers.iter().filter(is_available).count();
+        let is_suitable = available > 0 && available >= limits.min_available.min(servers.len());
+        is_suitable.then_some((part, available))
+    });
+    let counted: Vec<(usize, usize)> = counted.collect();
+    let most = counted.iter().map(|(_, available)| *available).max()?;
+    let best = counted.iter().filter(|(_, available)| *available == most);
+    best.map(|(part, _)| *part).choose(rng)
 }
 
 /// Describes for the log why each server is unavailable: its name, the requests in flight and their limit, and
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -6,7 +6,7 @@
 //!
 //! * A request that any server answered is not the cause. This clears most requests at once, since a search goes to many
 //!   servers and a repeated request to another one.
-//! * A request that saw two crashes, and that no server answered, is suspected. The next time that it comes, it is run at a
+//! * A request that saw two crashes, and that no server answered, is suspected. A second after the last crash it is run at a
 //!   single server as a trial; meanwhile its other arrivals are refused. An answer clears it.
 //! * A request whose trial crashed the server as well is in quarantine: it is refused until the next trial is due, after
 //!   two seconds at first and after minutes once a second trial has failed. The crashes that it caused no longer count
@@ -33,6 +33,10 @@
 /// `Retry-After` time of a request that comes during a trial.
 const TRIAL_RETRY: Duration = Duration::from_millis(200);
 
+/// Time from the last crash to a trial. A request may have been aborted at servers that crash a moment later, and each
+/// instance learns from its own requests which servers are down.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// `Retry-After` time of a request whose trial waits until crashed servers are back.
 const SPARE_RETRY: Duration = Duration::from_secs(1);
 
@@ -152,6 +156,10 @@
         if !record.is_suspected() {
             return Admission::Run;
         }
+        let settled = record.last_crash().map_or(now, |last| last + SETTLE_TIME);
+        if now < settled {
+            return Admission::Refuse(settled.saturating_duration_since(now));
+        }
         if is_trying || record.is_in_trial(now) {
             return Admission::Refuse(TRIAL_RETRY);
         }
--- a/src/process/quarantine/record.rs
+++ b/src/process/quarantine/record.rs
@@ -120,6 +120,11 @@
         self.crashes.iter().any(|known| known.has_cause_of(&crash))
     }
 
+    /// Returns when this instance learned of the last crash.
+    pub(super) fn last_crash(&self) -> Option<Instant> {
+        self.crashes.iter().map(|crash| crash.at).max()
+    }
+
     /// Returns the servers that crashed under the request less than `time` ago.
     pub(super) fn crashed_within(&self, time: Duration, now: Instant) -> Vec<ServerKey> {
         let recent = self.crashes.iter();
--- a/tests/testsuite/trials.rs
+++ b/tests/testsuite/trials.rs
@@ -64,6 +64,12 @@
     assert!(chosen_parts(&view, &limits, now).is_empty(), "a server of `b` failed");
     limits.min_available = 1;
     assert_eq!(chosen_parts(&view, &limits, now), [0, 1], "the trial has waited");
+    limits.crashed.clear();
+    assert_eq!(
+        chosen_parts(&view, &limits, now),
+        [0],
+        "both servers of `a` are available"
+    );
 }
 
 /// Guards against a server that failed and is never tried again, and against a trial at one that leaves or asked for a
