fanout: give the first crash time before a search without any answer is hedged

A search sends its first hedge when it takes longer than nine parts in ten do, often before the first crash is noticed.

While no shard of several has answered, the first hedge waits three times as long. In calm this is rare: all parts would have to be late at once. Requests to a single server are hedged as before.

--- a/src/request/fanout.rs
+++ b/src/request/fanout.rs
@@ -5,8 +5,8 @@
 //!
 //! * One server is paused or slow: the part is hedged on another server once it takes longer than nine attempts in ten
 //!   do, if the budget for extra attempts allows it.
-//! * No part is answered for as long: parts are hedged one at a time until one is answered. The request itself may be the
-//!   reason, and if it crashes servers, each hedge costs one.
+//! * No part of several is answered for some multiple of this: parts are hedged one at a time until one is answered. The
+//!   request itself may be the reason, and if it crashes servers, each hedge costs one.
 //! * No server of a shard answers: the answer is sent without the shard at the end of the objective, or at once if no
 //!   attempt of the shard is in flight.
 //! * Servers of several shards failed recently, so an answer depends on their recovery: their parts are sent first, and
@@ -36,6 +36,10 @@
 /// Interval at which a part that waits for capacity or a hedge is checked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(4);
 
+/// Factor on the time until the first hedge of a request over several shards while none of them has answered. It gives
+/// the first crash time to become known.
+const UNANSWERED_HEDGE_FACTOR: u32 = 3;
+
 /// Maximum time that a part waits for capacity or for probes, as a share of the objective.
 pub const MAX_WAIT_SHARE: f64 = 0.25;
 
@@ -202,8 +206,12 @@
             let choice = choose(ix, cause, &part.tried);
             match choice {
                 ServerChoice::Send(server, check) | ServerChoice::Probe(server, check) => {
-                    if cause == Cause::Hedge {
-                        self.next_hedge = Some(now + check);
+                    match cause {
+                        Cause::Hedge => self.next_hedge = Some(now + check),
+                        Cause::First if self.limits.parts > 1 && self.next_hedge.is_none() => {
+                            self.next_hedge = Some(now + check * UNANSWERED_HEDGE_FACTOR);
+                        }
+                        Cause::First | Cause::Retry | Cause::Resend => {}
                     }
                     let part = &mut self.parts[ix];
                     part.is_probe = matches!(choice, ServerChoice::Probe(..));
--- a/tests/testsuite/fanout.rs
+++ b/tests/testsuite/fanout.rs
@@ -359,20 +359,32 @@
         });
 }
 
-/// Guards against hedges of all parts at once while none is answered. If the request itself crashes servers, that would
-/// crash a second one of each shard before the first crash is noticed.
+/// Guards against hedges of all parts at once while none is answered, and against one before the first crash is noticed. If
+/// the request itself crashes servers, each hedge crashes a second one of its shard.
 #[test]
 fn parts_are_hedged_one_at_a_time_until_one_is_answered() {
     let now = Instant::now();
     let mut fanout = Fanout::new(search(), now);
     assert_eq!(fanout.advance(now, first_untried).len(), 10);
-    let hedges = fanout.advance(now + ms(30), first_untried);
+    assert!(fanout.advance(now + 3 * HEDGE_AFTER - ms(1), first_untried).is_empty());
+    let first = now + 3 * HEDGE_AFTER + ms(4);
+    let hedges = fanout.advance(first, first_untried);
     assert_eq!(hedges.len(), 1);
-    assert!(fanout.advance(now + ms(40), first_untried).is_empty());
-    assert_eq!(fanout.advance(now + ms(61), first_untried).len(), 1);
+    assert!(fanout.advance(first + ms(10), first_untried).is_empty());
+    assert_eq!(fanout.advance(first + ms(31), first_untried).len(), 1);
     // An answer shows that the servers are to blame, so all other parts are hedged.
-    answer(&mut fanout, [hedges[0].part], now + ms(62));
-    assert_eq!(fanout.advance(now + ms(66), first_untried).len(), 8);
+    answer(&mut fanout, [hedges[0].part], first + ms(32));
+    assert_eq!(fanout.advance(first + ms(36), first_untried).len(), 8);
+}
+
+/// Guards against a request to a single server that waits for its first hedge as long as a search of which no shard
+/// answers.
+#[test]
+fn a_request_to_one_server_is_hedged_at_once_when_it_is_slow() {
+    let now = Instant::now();
+    let mut fanout = Fanout::new(single(true), now);
+    assert_eq!(fanout.advance(now, first_untried).len(), 1);
+    assert_eq!(fanout.advance(now + HEDGE_AFTER, first_untried).len(), 1);
 }
 
 /// Guards against a trial that is sent to more than one server, and against parts that stay unsent after it is answered.
