gateway: tell other instances of crashes 100 times a second

The news of it waited: news of another request had been sent just before, and messages were 50 ms apart.

They are 10 ms apart now. The bound on messages is 400 a second while servers crash, and none else.

--- a/src/process/gateway/suspects.rs
+++ b/src/process/gateway/suspects.rs
@@ -33,7 +33,7 @@
 const NEWS_RECEIVERS: usize = 4;
 
 /// Minimum time between two messages with news. It bounds the messages when many servers crash at once.
-const NEWS_INTERVAL: Duration = Duration::from_millis(50);
+const NEWS_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Maximum time to send news to one instance.
 const SEND_TIMEOUT: Duration = Duration::from_millis(600);
