--- a/src/process/gateway/suspects.rs
+++ b/src/process/gateway/suspects.rs
@@ -30,7 +30,7 @@
 
 /// Number of instances that news is sent to. Each of them passes it on, so it reaches all but a few of a large fleet in
 /// some round trips; the others learn it from the next roster.
-const NEWS_RECEIVERS: usize = 4;
+const NEWS_RECEIVERS: usize = 8;
 
 /// Minimum time between two messages with news. It bounds the messages when many servers crash at once.
 const NEWS_INTERVAL: Duration = Duration::from_millis(10);
