gateway-soak: count runs of the crashing request until the faults end

By the logs all of them came after the end of the faults, when servers answer the request: a trial was answered 0.5 s after it and cleared the request, and the callers send it until they are stopped.

--- a/crates/gateway-soak/src/crashes.rs
+++ b/crates/gateway-soak/src/crashes.rs
@@ -1,6 +1,7 @@
 //! A request that crashes the backend servers that run it, servers that crash without it, and the check that few servers
 //! run the request after its first crashes.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -96,19 +97,22 @@
     Duration::from_millis(rng.random_range(MIN_RESTART_MS..MAX_RESTART_MS))
 }
 
-/// Ends the crashes that the request causes.
-pub fn clear(fleet: &Fleet) {
+/// Ends the crashes that the request causes, and returns the time before which it still crashed all servers.
+pub fn clear(fleet: &Fleet) -> Instant {
+    let before = Instant::now();
     for backend in &fleet.backends {
         backend.server.set_crash(None);
     }
+    before
 }
 
-/// Checks that few requests were run by servers [`SETTLE_TIME`] after the first crashes, from processes that were not
-/// disturbed. `planted_fault` tests this check.
+/// Checks that few requests were run by servers from [`SETTLE_TIME`] after the first crashes until they were `cleared`, from
+/// processes that were not disturbed. `planted_fault` tests this check.
 pub fn check(
     exchanges: &[Exchange],
     fleet: &Fleet,
     request: CrashingRequest,
+    cleared: Instant,
     planted_fault: Option<&str>,
     findings: &mut Findings,
 ) {
@@ -127,7 +131,7 @@
         request.target()
     };
     let by_id = callers::by_id(exchanges);
-    let runs = later_runs(fleet, target, *last + SETTLE_TIME, &by_id);
+    let runs = later_runs(fleet, target, *last + SETTLE_TIME..cleared, &by_id);
     findings.add_crashes(crashes.len(), runs.len());
     if runs.len() > MAX_LATER_RUNS {
         let text = format!("{target} was run after its first crashes: {runs:?}");
@@ -135,12 +139,12 @@
     }
 }
 
-/// Returns the requests to `target` that servers ran after `from`, from processes that were not disturbed in
+/// Returns the requests to `target` that servers ran in `period`, from processes that were not disturbed in
 /// [`SETTLE_TIME`] before.
 fn later_runs<'a>(
     fleet: &Fleet,
     target: &str,
-    from: Instant,
+    period: Range<Instant>,
     exchanges: &IndexMap<&'a str, &Exchange>,
 ) -> IndexSet<&'a str> {
     let mut runs = IndexSet::new();
@@ -154,7 +158,7 @@
             let Some((id, exchange)) = exchanges.get_key_value(arrival.id.as_str()) else {
                 continue;
             };
-            let is_later = arrival.received_at > from && executed.contains(id);
+            let is_later = period.contains(&arrival.received_at) && executed.contains(id);
             if exchange.target == target && is_later && !is_disturbed(fleet, id, arrival.received_at) {
                 runs.insert(*id);
             }
--- a/crates/gateway-soak/src/main.rs
+++ b/crates/gateway-soak/src/main.rs
@@ -138,9 +138,7 @@
             injector.inject_next(&fleet);
         }
     }
-    if crashing.is_some() {
-        crashes::clear(&fleet);
-    }
+    let crashing = crashing.map(|request| (request, crashes::clear(&fleet)));
     restore_injector.finish(&mut fleet).await;
     FaultInjector::clear_all(&mut fleet).await?;
     fleet.wait_ready(READY_TIMEOUT).await?;
@@ -160,14 +158,9 @@
     check::plant_fault(settings.planted_fault.as_deref(), &mut exchanges, &fleet);
     check::check_invariants(&exchanges, &fleet, &mut findings);
     notices::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
-    if let Some(request) = crashing {
-        crashes::check(
-            &exchanges,
-            &fleet,
-            request,
-            settings.planted_fault.as_deref(),
-            &mut findings,
-        );
+    if let Some((request, cleared)) = crashing {
+        let planted_fault = settings.planted_fault.as_deref();
+        crashes::check(&exchanges, &fleet, request, cleared, planted_fault, &mut findings);
     }
     limits::check(&exchanges, &fleet, settings.planted_fault.as_deref(), &mut findings);
     fleet.kill_all().await;
