tests: await a trial of another instance after the crashes have settled

Since trials wait for a second after the last crash, the test passed without taking over the trial of another instance: the refusal had another reason. The second instance learns of the crashes a second earlier now.

--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -146,6 +146,8 @@
     let now = Instant::now();
     let mut first = suspecting(now);
     let mut second = Quarantine::new(0.5);
+    let crashed = now - SETTLE_TIME;
+    second.on_reports(&first.take_news(crashed), crashed);
     assert_eq!(first.admit(CRASHING, now, |_| true), Admission::Trial);
     second.on_reports(&first.take_news(now), now);
     assert!(matches!(
