--- a/review/support/common.rs
+++ b/review/support/common.rs
@@ -20,6 +20,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -75,8 +77,11 @@
     }
 }
 
-/// Reads a head and a body with a length. Returns the first line.
-fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
+/// First line, headers and body.
+type Message = (String, Vec<(String, String)>, Vec<u8>);
+
+/// Reads a head and a body with a length.
+fn read_message(stream: &mut TcpStream) -> Option<Message> {
     let mut head = Vec::new();
     let mut byte = [0_u8];
     while !head.ends_with(b"\r\n\r\n") {
@@ -274,6 +279,50 @@
 
 type Plan = dyn Fn(&Request) -> Work + Send + Sync;
 
+/// Requests that a server runs at the same time.
+const SLOTS: usize = 3;
+
+/// Requests that wait at a server for a slot; it refuses more.
+const QUEUE: usize = 18;
+
+/// Requests at a server, in the order in which they came. The first [`SLOTS`] run.
+#[derive(Default)]
+struct Queue {
+    next: u64,
+    present: Vec<u64>,
+}
+
+/// Place of a request at a server.
+struct Place {
+    queue: Arc<Mutex<Queue>>,
+    number: u64,
+}
+
+impl Place {
+    /// Returns `None` if the server is full.
+    fn take(queue: &Arc<Mutex<Queue>>) -> Option<Self> {
+        let mut state = queue.lock().unwrap();
+        if state.present.len() >= SLOTS + QUEUE {
+            return None;
+        }
+        state.next += 1;
+        let number = state.next;
+        state.present.push(number);
+        Some(Self { queue: Arc::clone(queue), number })
+    }
+
+    fn may_run(&self) -> bool {
+        let state = self.queue.lock().unwrap();
+        state.present.iter().take(SLOTS).any(|number| *number == self.number)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.queue.lock().unwrap().present.retain(|number| *number != self.number);
+    }
+}
+
 /// Stand-in for a backend server.
 #[derive(Clone)]
 pub struct Server {
@@ -286,7 +335,11 @@
     record: Record,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     plan: Arc<Plan>,
+    queue: Arc<Mutex<Queue>>,
     body: Vec<u8>,
+    /// Header lines of all answers.
+    headers: Arc<Mutex<String>>,
+    has_exited: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -310,11 +363,17 @@
             record: record.clone(),
             arrivals: Arc::clone(arrivals),
             plan: Arc::new(plan),
+            queue: Arc::default(),
             body: format!("body of {service}").into_bytes(),
+            headers: Arc::default(),
+            has_exited: Arc::default(),
         };
         let accepting = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.has_exited.load(Ordering::Relaxed) {
+                    return;
+                }
                 let server = accepting.clone();
                 thread::spawn(move || server.serve(stream));
             }
@@ -336,6 +395,20 @@
         )
     }
 
+    /// Ends the server: its connections and its listener close, and its entry is removed.
+    pub fn exit(&self) {
+        self.record.note(&format!("{} exits", self.id));
+        self.has_exited.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.address);
+        self.store.write(&self.key(), None);
+    }
+
+    /// Adds a header to all answers from now on.
+    pub fn say(&self, header: &str) {
+        self.record.note(&format!("{} says in all its answers: {header}", self.id));
+        let _ = write!(self.headers.lock().unwrap(), "{header}\r\n");
+    }
+
     /// Writes the entry. Returns when the store has accepted it.
     pub fn report(&self, state: &str) {
         self.store.write(&self.key(), Some(&self.entry(state)));
@@ -352,23 +425,22 @@
             let (server, service, target) = (self.id.clone(), &self.service, request.target.clone());
             self.record.note(&format!("{server} of {service} gets {id} {target} (expected {expected}, runs {ran})"));
             self.arrivals.lock().unwrap().push(Arrival { server, id: id.clone(), at, ran, target });
-            let stamp = format!("{}.{id}", self.id);
-            let (status, stamp) = if ran { ("200 OK", stamp) } else { ("421 Misdirected Request", String::new()) };
-            let work = if ran { (self.plan)(&request) } else { Work::Answer(Duration::ZERO) };
-            let (Work::Answer(time) | Work::Crash(time)) = work;
-            if !wait_while_open(&stream, time) {
-                self.record.note(&format!("{} drops {id}: its connection was closed", self.id));
-                return;
-            }
-            if matches!(work, Work::Crash(_)) {
-                return;
-            }
-            let mut head = format!("HTTP/1.1 {status}\r\nX-Pimentoflow-Request-Id: {id}\r\n");
-            if !stamp.is_empty() {
-                let _ = write!(head, "X-Pimentoflow-Server-Stamp: {stamp}\r\n");
-            }
-            let body: &[u8] = if ran { &self.body } else { b"" };
-            let _ = write!(head, "X-Pimentoflow-Server-Load: 1,0,3\r\nContent-Length: {}\r\n\r\n", body.len());
+            let left: u64 = request.header("x-pimentoflow-deadline-ms").parse().unwrap_or(60_000);
+            let deadline = at + Duration::from_millis(left);
+            let outcome = if ran { self.run(&request, &stream, deadline) } else { Outcome::Misdirected };
+            self.record.note(&format!("{} ends {id}: {outcome:?}", self.id));
+            let (status, header, body) = match outcome {
+                Outcome::Closed | Outcome::Crashed => return,
+                Outcome::Misdirected => ("421 Misdirected Request", String::new(), &b""[..]),
+                Outcome::Full => ("503 Full", "X-Pimentoflow-Not-Executed: 1\r\n".to_owned(), &b""[..]),
+                Outcome::TooLate => ("504 Deadline", self.stamp(&id), &b""[..]),
+                Outcome::Done => ("200 OK", self.stamp(&id), &*self.body),
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\nX-Pimentoflow-Request-Id: {id}\r\n{header}{}Content-Length: {}\r\n\r\n",
+                self.headers.lock().unwrap(),
+                body.len()
+            );
             let mut bytes = head.into_bytes();
             bytes.extend(body);
             if stream.write_all(&bytes).is_err() {
@@ -376,25 +448,70 @@
             }
         }
     }
-}
 
-/// Waits for `time`. Returns whether the peer kept the connection open.
-fn wait_while_open(stream: &TcpStream, time: Duration) -> bool {
-    let end = Instant::now() + time;
-    let mut byte = [0];
-    loop {
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            let _ = stream.set_read_timeout(None);
-            return true;
+    fn stamp(&self, id: &str) -> String {
+        format!("X-Pimentoflow-Server-Stamp: {}.{id}\r\n", self.id)
+    }
+
+    /// Waits for a slot and runs a request.
+    fn run(&self, request: &Request, stream: &TcpStream, deadline: Instant) -> Outcome {
+        let Some(place) = Place::take(&self.queue) else { return Outcome::Full };
+        while !place.may_run() {
+            if !self.wait(stream, Duration::from_millis(4)) {
+                return Outcome::Closed;
+            }
+            if Instant::now() >= deadline {
+                return Outcome::Full;
+            }
         }
-        let _ = stream.set_read_timeout(Some(left.min(Duration::from_millis(10)).max(Duration::from_millis(1))));
-        if let Ok(0) = stream.peek(&mut byte) {
-            return false;
+        let work = (self.plan)(request);
+        let (Work::Answer(time) | Work::Crash(time)) = work;
+        let left = deadline.saturating_duration_since(Instant::now());
+        match work {
+            _ if !self.wait(stream, time.min(left)) => Outcome::Closed,
+            _ if time > left => Outcome::TooLate,
+            Work::Crash(_) => Outcome::Crashed,
+            Work::Answer(_) => Outcome::Done,
+        }
+    }
+}
+
+impl Server {
+    /// Waits for `time`. Returns whether the peer kept the connection open and this server did not exit.
+    fn wait(&self, stream: &TcpStream, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        let mut byte = [0];
+        loop {
+            if self.has_exited.load(Ordering::Relaxed) {
+                return false;
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                let _ = stream.set_read_timeout(None);
+                return true;
+            }
+            let step = left.min(Duration::from_millis(10)).max(Duration::from_millis(1));
+            let _ = stream.set_read_timeout(Some(step));
+            if let Ok(0) = stream.peek(&mut byte) {
+                return false;
+            }
         }
     }
 }
 
+/// How a request ends at a server.
+#[derive(Debug, Clone, Copy)]
+enum Outcome {
+    Done,
+    Misdirected,
+    /// Not run: no room, or the deadline passed in the queue.
+    Full,
+    TooLate,
+    /// The connection was closed, by the gateway or because the server exits.
+    Closed,
+    Crashed,
+}
+
 /// Answer that a caller got; `None` as status if the connection ended without one.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -423,7 +540,34 @@
     pub fn send(&self, method: &str, target: &str, id: &str, deadline_ms: u64) -> Answer {
         let began = Instant::now();
         self.record.note(&format!("caller sends {id} {method} {target} (deadline {deadline_ms} ms)"));
-        let answer = self.exchange(method, target, id, deadline_ms);
+        self.finish(began, id, self.exchange(method, target, id, deadline_ms))
+    }
+
+    /// Sends a request whose body of 20 KB arrives in pieces over `time`, as over a slow link.
+    pub fn send_slowly(&self, method: &str, target: &str, id: &str, deadline_ms: u64, time: Duration) -> Answer {
+        const PIECES: u32 = 20;
+        let began = Instant::now();
+        self.record.note(&format!("caller sends {id} {method} {target} (deadline {deadline_ms} ms, body over {} ms)", time.as_millis()));
+        let upload = || {
+            let mut stream = TcpStream::connect(self.address).ok()?;
+            let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms) - time));
+            let request = format!(
+                "{method} {target} HTTP/1.1\r\nHost: review.example\r\nX-Pimentoflow-Request-Id: {id}\r\n\
+                 X-Pimentoflow-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n",
+                PIECES * 1000
+            );
+            stream.write_all(request.as_bytes()).ok()?;
+            for _ in 0..PIECES {
+                thread::sleep(time / PIECES);
+                stream.write_all(&[b'x'; 1000]).ok()?;
+            }
+            self.record.note(&format!("caller has sent the whole body of {id}"));
+            read_message(&mut stream)
+        };
+        self.finish(began, id, upload())
+    }
+
+    fn finish(&self, began: Instant, id: &str, answer: Option<Message>) -> Answer {
         let (status, headers, body) = answer.map_or((None, Vec::new(), Vec::new()), |(first, headers, body)| {
             (first.split(' ').nth(1).and_then(|status| status.parse().ok()), headers, body)
         });
@@ -444,7 +588,7 @@
         target: &str,
         id: &str,
         deadline_ms: u64,
-    ) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
+    ) -> Option<Message> {
         let mut stream = TcpStream::connect(self.address).ok()?;
         let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms)));
         let request = format!(
