--- a/review/support/common.rs
+++ b/review/support/common.rs
@@ -133,28 +133,42 @@
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
     events: Vec<(u64, String, Option<String>)>,
-    /// Watches that wait this long are cut, if set.
-    cut_after: Option<Duration>,
 }
 
-/// Stand-in for the platform's store.
+/// Stand-in for the platform's store. Clones share its state.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// Whether this address is closed.
+    is_closed: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
+        let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
+        state.0.lock().unwrap().revision = 1;
+        Self::listen(state)
+    }
+
+    /// Opens another address of the same store.
+    pub fn add_address(&self) -> Self {
+        Self::listen(Arc::clone(&self.state))
+    }
+
+    fn listen(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let store = Self {
             address: listener.local_addr().unwrap(),
-            state: Arc::default(),
+            state,
+            is_closed: Arc::default(),
         };
-        store.state.0.lock().unwrap().revision = 1;
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
                 let store = accepting.clone();
                 thread::spawn(move || store.serve(stream));
             }
@@ -162,6 +176,13 @@
         store
     }
 
+    /// Closes this address and its connections. The store goes on at its other addresses.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.address);
+        self.state.1.notify_all();
+    }
+
     /// Writes a value, or removes the key. Returning is the acknowledgement.
     pub fn write(&self, key: &str, value: Option<&str>) {
         let mut state = self.state.0.lock().unwrap();
@@ -175,12 +196,6 @@
         self.state.1.notify_all();
     }
 
-    /// Cuts watches that have waited for `time` from now on.
-    pub fn cut_watches_after(&self, time: Option<Duration>) {
-        self.state.0.lock().unwrap().cut_after = time;
-        self.state.1.notify_all();
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream) {
             let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
@@ -209,7 +224,7 @@
         }
     }
 
-    /// Returns the events after a revision, or `None` if the watch is cut.
+    /// Returns the events after a revision, or `None` if the address is closed.
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<String> {
         let began = Instant::now();
         let mut state = self.state.0.lock().unwrap();
@@ -227,7 +242,7 @@
                 let revision = state.revision;
                 return Some(format!("{{\"events\":[{}],\"StoreRevision\":{revision}}}", events.join(",")));
             }
-            if state.cut_after.is_some_and(|time| waited >= time) {
+            if self.is_closed.load(Ordering::Relaxed) {
                 return None;
             }
             let left = (wait - waited).min(Duration::from_millis(20));
@@ -603,8 +618,10 @@
 /// Gateway process, started with the command of the deploy file.
 pub struct Gateway {
     pub name: String,
+    zone: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    metrics: SocketAddr,
     pub peers: SocketAddr,
     child: Child,
 }
@@ -624,7 +641,8 @@
 /// Place of the files of the processes, and the addresses reserved for them.
 pub struct Deployment {
     folder: PathBuf,
-    store: SocketAddr,
+    /// Address of the store in the settings of processes that start, or are told to reload, from now on.
+    pub store: SocketAddr,
     seeds: Vec<SocketAddr>,
 }
 
@@ -644,24 +662,10 @@
     pub fn start(&self, ix: usize, zone: &str) -> Option<Gateway> {
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
         let peers = self.seeds[ix];
-        let seeds: Vec<String> = self.seeds.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
-        let (name, port, store) = (format!("front-{zone}-{ix}"), metrics.port(), self.store);
-        let settings = format!(
-            "{{\"NodeName\":\"{name}\",\"Role\":\"gateway\",\"MachineClass\":\"front\",\"Serves\":[\"front\",\"control\"],\
-             \"Ip\":\"127.0.0.1\",\"Zone\":\"{zone}\",\"Region\":\"r\",\"Zones\":{{\"a\":\"r\",\"b\":\"r\",\"c\":\"r\"}},\
-             \"Listen\":{{\"Frontend\":\"{callers}\",\"Readiness\":\"{readiness}\",\"Control\":\"{peers}\"}},\
-             \"InternalPorts\":[{port},{port}],\"Seeds\":[{seeds}],\"Bootstrap\":true,\
-             \"Limits\":{{\"CpuShare\":0.38,\"CpuCores\":1,\"MemoryMb\":390,\"MaxFds\":6150,\"LinkMbps\":1500.0,\"DiskMb\":0}},\
-             \"Discovery\":\"platform\",\"Entry\":\"vip\",\"HeartbeatMs\":1200,\
-             \"Bounds\":{{\"SeedLagS\":3,\"ReuseAfterS\":2,\"SettleWindowMs\":4000,\"AckMs\":5000,\"CatchUpS\":4,\
-             \"DrainMs\":3000,\"GraceS\":6,\"LossSlackMs\":200,\"ConfigMs\":3000,\"RollbackSlackMs\":250,\
-             \"SkewMs\":12000,\"RetryBudgetRatio\":0.2,\"BudgetWindowS\":10,\"BudgetSlack\":54,\"RecoverS\":12}},\
-             \"platform\":{{\"Address\":\"{store}\",\"form\":\"read\",\"WritesPerS\":400,\"ReadsPerS\":2000,\
-             \"HistoryS\":20,\"ValueBytes\":1048576,\"TtlMinMs\":1000}}}}",
-            seeds = seeds.join(",")
-        );
+        let name = format!("front-{zone}-{ix}");
         let path = self.folder.join(format!("{name}.json"));
-        std::fs::write(&path, settings).ok()?;
+        std::fs::write(&path, self.settings(&name, zone, [callers, readiness, metrics, peers])).ok()?;
+        let port = metrics.port();
         let log = File::create(self.folder.join(format!("{name}.log"))).ok()?;
         let child = Command::new("target/release/pimento-gateway")
             .args(["--metrics-port", &port.to_string()])
@@ -671,7 +675,8 @@
             .stdin(Stdio::null())
             .spawn()
             .ok()?;
-        let gateway = Gateway { name, callers, readiness, peers, child };
+        let zone = zone.to_owned();
+        let gateway = Gateway { name, zone, callers, readiness, metrics, peers, child };
         let began = Instant::now();
         while !is_ready(gateway.readiness) {
             if began.elapsed() > Duration::from_secs(10) {
@@ -684,6 +689,37 @@
 }
 
 impl Deployment {
+    fn settings(&self, name: &str, zone: &str, addresses: [SocketAddr; 4]) -> String {
+        let [callers, readiness, metrics, peers] = addresses;
+        let seeds: Vec<String> = self.seeds.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+        let (port, store) = (metrics.port(), self.store);
+        format!(
+            "{{\"NodeName\":\"{name}\",\"Role\":\"gateway\",\"MachineClass\":\"front\",\"Serves\":[\"front\",\"control\"],\
+             \"Ip\":\"127.0.0.1\",\"Zone\":\"{zone}\",\"Region\":\"r\",\"Zones\":{{\"a\":\"r\",\"b\":\"r\",\"c\":\"r\"}},\
+             \"Listen\":{{\"Frontend\":\"{callers}\",\"Readiness\":\"{readiness}\",\"Control\":\"{peers}\"}},\
+             \"InternalPorts\":[{port},{port}],\"Seeds\":[{seeds}],\"Bootstrap\":true,\
+             \"Limits\":{{\"CpuShare\":0.38,\"CpuCores\":1,\"MemoryMb\":390,\"MaxFds\":6150,\"LinkMbps\":1500.0,\"DiskMb\":0}},\
+             \"Discovery\":\"platform\",\"Entry\":\"vip\",\"HeartbeatMs\":1200,\
+             \"Bounds\":{{\"SeedLagS\":3,\"ReuseAfterS\":2,\"SettleWindowMs\":4000,\"AckMs\":5000,\"CatchUpS\":4,\
+             \"DrainMs\":3000,\"GraceS\":6,\"LossSlackMs\":200,\"ConfigMs\":3000,\"RollbackSlackMs\":250,\
+             \"SkewMs\":12000,\"RetryBudgetRatio\":0.2,\"BudgetWindowS\":10,\"BudgetSlack\":54,\"RecoverS\":12}},\
+             \"platform\":{{\"Address\":\"{store}\",\"form\":\"read\",\"WritesPerS\":400,\"ReadsPerS\":2000,\
+             \"HistoryS\":20,\"ValueBytes\":1048576,\"TtlMinMs\":1000}}}}",
+            seeds = seeds.join(",")
+        )
+    }
+
+    /// Writes the settings of a gateway again, in one step, and sends it SIGHUP.
+    pub fn reload(&self, gateway: &Gateway) {
+        let Gateway { name, zone, callers, readiness, metrics, peers, child } = gateway;
+        let new = self.folder.join(format!("{name}.new"));
+        let settings = self.settings(name, zone, [*callers, *readiness, *metrics, *peers]);
+        std::fs::write(&new, settings).unwrap();
+        std::fs::rename(new, self.folder.join(format!("{name}.json"))).unwrap();
+        let sent = Command::new("sh").args(["-c", &format!("kill -HUP {}", child.id())]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "SIGHUP can be sent");
+    }
+
     /// Returns what a gateway has logged.
     pub fn log_of(&self, gateway: &Gateway) -> String {
         std::fs::read_to_string(self.folder.join(format!("{}.log", gateway.name))).unwrap_or_default()
