--- a/review/support/common.rs
+++ b/review/support/common.rs
@@ -615,6 +615,38 @@
     }
 }
 
+/// Connection of a caller that keeps it open for several requests.
+pub struct KeptConnection {
+    stream: TcpStream,
+    record: Record,
+}
+
+impl Caller {
+    /// Opens a connection for several requests.
+    pub fn connect(&self) -> Option<KeptConnection> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
+        Some(KeptConnection { stream, record: self.record.clone() })
+    }
+}
+
+impl KeptConnection {
+    /// Sends a request with a head of about `head_bytes` and returns the status of the answer, if there is one.
+    pub fn send(&mut self, method: &str, target: &str, id: &str, head_bytes: usize) -> Option<u16> {
+        let padding = "p".repeat(head_bytes.saturating_sub(200));
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nHost: review.example\r\nX-Pimentoflow-Request-Id: {id}\r\n\
+             X-Pimentoflow-Deadline-Ms: 6000\r\nCookie: {padding}\r\nContent-Length: 0\r\n\r\n"
+        );
+        self.record.note(&format!("caller sends {id} {method} {target} with a head of {} bytes", request.len()));
+        let sent = self.stream.write_all(request.as_bytes());
+        let answer = sent.ok().and_then(|()| read_message(&mut self.stream));
+        let status = answer.and_then(|(first, ..)| first.split(' ').nth(1)?.parse().ok());
+        self.record.note(&format!("caller gets for {id}: {status:?}"));
+        status
+    }
+}
+
 /// Gateway process, started with the command of the deploy file.
 pub struct Gateway {
     pub name: String,
@@ -746,8 +778,16 @@
     sent.is_ok() && read_message(&mut stream).is_some_and(|(first, ..)| first.contains(" 200"))
 }
 
+/// `MaxHeaderBytes` of [`configuration`].
+pub const MAX_HEADER_BYTES: usize = 16_384;
+
 /// Returns a configuration with one route for each service: `/SERVICE/` of type `safe` or `unsafe`.
 pub fn configuration(version: u64, routes: &[(&str, &str)]) -> String {
+    configuration_with(version, routes, MAX_HEADER_BYTES)
+}
+
+/// Like [`configuration`], with another `MaxHeaderBytes`.
+pub fn configuration_with(version: u64, routes: &[(&str, &str)], max_header_bytes: usize) -> String {
     let services: Vec<String> = routes
         .iter()
         .map(|(service, _)| {
@@ -764,7 +804,7 @@
         })
         .collect();
     format!(
-        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
+        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{}],\"Limits\":{{\"MaxHeaderBytes\":{max_header_bytes},\
          \"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
         routes.join(","),
         services.join(",")
