--- a/review/support/common.rs
+++ b/review/support/common.rs
@@ -156,13 +156,30 @@
         Self::listen(Arc::clone(&self.state))
     }
 
-    fn listen(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = Self {
-            address: listener.local_addr().unwrap(),
+    /// Returns an address of the same store that refuses connections until [`Store::open`] is called.
+    pub fn add_closed_address(&self) -> Self {
+        let (address, state) = (free_address(), Arc::clone(&self.state));
+        Self {
+            address,
             state,
             is_closed: Arc::default(),
-        };
+        }
+    }
+
+    fn listen(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
+        let (address, is_closed) = (free_address(), Arc::default());
+        Self {
+            address,
+            state,
+            is_closed,
+        }
+        .open()
+    }
+
+    /// Accepts connections from now on.
+    pub fn open(self) -> Self {
+        let store = self;
+        let listener = TcpListener::bind(store.address).unwrap();
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -192,7 +209,9 @@
             Some(value) => state.items.insert(key.to_owned(), (value.to_owned(), revision)),
             None => state.items.remove(key),
         };
-        state.events.push((revision, key.to_owned(), value.map(ToOwned::to_owned)));
+        state
+            .events
+            .push((revision, key.to_owned(), value.map(ToOwned::to_owned)));
         self.state.1.notify_all();
     }
 
@@ -201,7 +220,9 @@
             let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
             let value = |name: &str| {
                 let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-                pairs.find(|(key, _)| *key == name).map_or(String::new(), |(_, value)| value.replace("%2F", "/"))
+                pairs
+                    .find(|(key, _)| *key == name)
+                    .map_or(String::new(), |(_, value)| value.replace("%2F", "/"))
             };
             let prefix = value("Prefix");
             let body = if path == "/-/kv-watch" {
@@ -240,7 +261,10 @@
             let waited = began.elapsed();
             if !events.is_empty() || waited >= wait {
                 let revision = state.revision;
-                return Some(format!("{{\"events\":[{}],\"StoreRevision\":{revision}}}", events.join(",")));
+                return Some(format!(
+                    "{{\"events\":[{}],\"StoreRevision\":{revision}}}",
+                    events.join(",")
+                ));
             }
             if self.is_closed.load(Ordering::Relaxed) {
                 return None;
@@ -258,7 +282,10 @@
             .map(|(key, (value, revision))| item(key, value, *revision))
             .collect();
         let revision = state.revision;
-        format!("{{\"items\":[{}],\"HasMore\":false,\"StoreRevision\":{revision}}}", items.join(","))
+        format!(
+            "{{\"items\":[{}],\"HasMore\":false,\"StoreRevision\":{revision}}}",
+            items.join(",")
+        )
     }
 }
 
@@ -269,7 +296,10 @@
 
 /// Returns the present time in Unix milliseconds.
 pub fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis()
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap()
+        .as_millis()
 }
 
 /// What a server does with a request that it begins to run.
@@ -323,7 +353,10 @@
         state.next += 1;
         let number = state.next;
         state.present.push(number);
-        Some(Self { queue: Arc::clone(queue), number })
+        Some(Self {
+            queue: Arc::clone(queue),
+            number,
+        })
     }
 
     fn may_run(&self) -> bool {
@@ -334,7 +367,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.queue.lock().unwrap().present.retain(|number| *number != self.number);
+        self.queue
+            .lock()
+            .unwrap()
+            .present
+            .retain(|number| *number != self.number);
     }
 }
 
@@ -403,7 +440,13 @@
 
     /// Returns the entry as the server writes it.
     pub fn entry(&self, state: &str) -> String {
-        let Self { service, address, zone, born, .. } = self;
+        let Self {
+            service,
+            address,
+            zone,
+            born,
+            ..
+        } = self;
         format!(
             "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":3,\
              \"State\":\"{state}\",\"WarmupLeftMs\":0,\"Seq\":7,\"born\":{born}}}"
@@ -420,14 +463,20 @@
 
     /// Adds a header to all answers from now on.
     pub fn say(&self, header: &str) {
-        self.record.note(&format!("{} says in all its answers: {header}", self.id));
+        self.record
+            .note(&format!("{} says in all its answers: {header}", self.id));
         let _ = write!(self.headers.lock().unwrap(), "{header}\r\n");
     }
 
     /// Writes the entry. Returns when the store has accepted it.
     pub fn report(&self, state: &str) {
         self.store.write(&self.key(), Some(&self.entry(state)));
-        self.record.note(&format!("store has accepted {} of {} ({}): {state}", self.key(), self.service, self.address));
+        self.record.note(&format!(
+            "store has accepted {} of {} ({}): {state}",
+            self.key(),
+            self.service,
+            self.address
+        ));
     }
 
     fn serve(self, mut stream: TcpStream) {
@@ -438,11 +487,23 @@
             let ran = expected.is_empty() || expected == self.id;
             let at = Instant::now();
             let (server, service, target) = (self.id.clone(), &self.service, request.target.clone());
-            self.record.note(&format!("{server} of {service} gets {id} {target} (expected {expected}, runs {ran})"));
-            self.arrivals.lock().unwrap().push(Arrival { server, id: id.clone(), at, ran, target });
+            self.record.note(&format!(
+                "{server} of {service} gets {id} {target} (expected {expected}, runs {ran})"
+            ));
+            self.arrivals.lock().unwrap().push(Arrival {
+                server,
+                id: id.clone(),
+                at,
+                ran,
+                target,
+            });
             let left: u64 = request.header("x-pimentoflow-deadline-ms").parse().unwrap_or(60_000);
             let deadline = at + Duration::from_millis(left);
-            let outcome = if ran { self.run(&request, &stream, deadline) } else { Outcome::Misdirected };
+            let outcome = if ran {
+                self.run(&request, &stream, deadline)
+            } else {
+                Outcome::Misdirected
+            };
             self.record.note(&format!("{} ends {id}: {outcome:?}", self.id));
             let (status, header, body) = match outcome {
                 Outcome::Closed | Outcome::Crashed => return,
@@ -470,7 +531,9 @@
 
     /// Waits for a slot and runs a request.
     fn run(&self, request: &Request, stream: &TcpStream, deadline: Instant) -> Outcome {
-        let Some(place) = Place::take(&self.queue) else { return Outcome::Full };
+        let Some(place) = Place::take(&self.queue) else {
+            return Outcome::Full;
+        };
         while !place.may_run() {
             if !self.wait(stream, Duration::from_millis(4)) {
                 return Outcome::Closed;
@@ -554,7 +617,9 @@
     /// Sends a request of `host` and waits for the answer.
     pub fn send(&self, method: &str, target: &str, id: &str, deadline_ms: u64) -> Answer {
         let began = Instant::now();
-        self.record.note(&format!("caller sends {id} {method} {target} (deadline {deadline_ms} ms)"));
+        self.record.note(&format!(
+            "caller sends {id} {method} {target} (deadline {deadline_ms} ms)"
+        ));
         self.finish(began, id, self.exchange(method, target, id, deadline_ms))
     }
 
@@ -562,7 +627,10 @@
     pub fn send_slowly(&self, method: &str, target: &str, id: &str, deadline_ms: u64, time: Duration) -> Answer {
         const PIECES: u32 = 20;
         let began = Instant::now();
-        self.record.note(&format!("caller sends {id} {method} {target} (deadline {deadline_ms} ms, body over {} ms)", time.as_millis()));
+        self.record.note(&format!(
+            "caller sends {id} {method} {target} (deadline {deadline_ms} ms, body over {} ms)",
+            time.as_millis()
+        ));
         let upload = || {
             let mut stream = TcpStream::connect(self.address).ok()?;
             let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms) - time));
@@ -584,9 +652,18 @@
 
     fn finish(&self, began: Instant, id: &str, answer: Option<Message>) -> Answer {
         let (status, headers, body) = answer.map_or((None, Vec::new(), Vec::new()), |(first, headers, body)| {
-            (first.split(' ').nth(1).and_then(|status| status.parse().ok()), headers, body)
+            (
+                first.split(' ').nth(1).and_then(|status| status.parse().ok()),
+                headers,
+                body,
+            )
         });
-        let answer = Answer { status, headers, body, took: began.elapsed() };
+        let answer = Answer {
+            status,
+            headers,
+            body,
+            took: began.elapsed(),
+        };
         self.record.note(&format!(
             "caller gets for {id}: {:?} after {} ms, stamp '{}', body '{}'",
             answer.status,
@@ -597,13 +674,7 @@
         answer
     }
 
-    fn exchange(
-        &self,
-        method: &str,
-        target: &str,
-        id: &str,
-        deadline_ms: u64,
-    ) -> Option<Message> {
+    fn exchange(&self, method: &str, target: &str, id: &str, deadline_ms: u64) -> Option<Message> {
         let mut stream = TcpStream::connect(self.address).ok()?;
         let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms)));
         let request = format!(
@@ -626,7 +697,10 @@
     pub fn connect(&self) -> Option<KeptConnection> {
         let stream = TcpStream::connect(self.address).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
-        Some(KeptConnection { stream, record: self.record.clone() })
+        Some(KeptConnection {
+            stream,
+            record: self.record.clone(),
+        })
     }
 }
 
@@ -638,7 +712,10 @@
             "{method} {target} HTTP/1.1\r\nHost: review.example\r\nX-Pimentoflow-Request-Id: {id}\r\n\
              X-Pimentoflow-Deadline-Ms: 6000\r\nCookie: {padding}\r\nContent-Length: 0\r\n\r\n"
         );
-        self.record.note(&format!("caller sends {id} {method} {target} with a head of {} bytes", request.len()));
+        self.record.note(&format!(
+            "caller sends {id} {method} {target} with a head of {} bytes",
+            request.len()
+        ));
         let sent = self.stream.write_all(request.as_bytes());
         let answer = sent.ok().and_then(|()| read_message(&mut self.stream));
         let status = answer.and_then(|(first, ..)| first.split(' ').nth(1)?.parse().ok());
@@ -692,6 +769,12 @@
 
     /// Starts gateway `ix` in `zone` and waits until it is ready. Returns `None` if it isn't within 10 s.
     pub fn start(&self, ix: usize, zone: &str) -> Option<Gateway> {
+        let gateway = self.spawn(ix, zone)?;
+        gateway.wait_until_ready().then_some(gateway)
+    }
+
+    /// Starts gateway `ix` in `zone` and waits until it listens.
+    pub fn spawn(&self, ix: usize, zone: &str) -> Option<Gateway> {
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
         let peers = self.seeds[ix];
         let name = format!("front-{zone}-{ix}");
@@ -708,18 +791,40 @@
             .spawn()
             .ok()?;
         let zone = zone.to_owned();
-        let gateway = Gateway { name, zone, callers, readiness, metrics, peers, child };
+        let gateway = Gateway {
+            name,
+            zone,
+            callers,
+            readiness,
+            metrics,
+            peers,
+            child,
+        };
         let began = Instant::now();
-        while !is_ready(gateway.readiness) {
+        while TcpStream::connect(gateway.readiness).is_err() {
             if began.elapsed() > Duration::from_secs(10) {
                 return None;
             }
-            thread::sleep(Duration::from_millis(50));
+            thread::sleep(Duration::from_millis(20));
         }
         Some(gateway)
     }
 }
 
+impl Gateway {
+    /// Returns whether the gateway is ready within 10 s.
+    pub fn wait_until_ready(&self) -> bool {
+        let began = Instant::now();
+        while !is_ready(self.readiness) {
+            if began.elapsed() > Duration::from_secs(10) {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        true
+    }
+}
+
 impl Deployment {
     fn settings(&self, name: &str, zone: &str, addresses: [SocketAddr; 4]) -> String {
         let [callers, readiness, metrics, peers] = addresses;
@@ -743,7 +848,15 @@
 
     /// Writes the settings of a gateway again, in one step, and sends it SIGHUP if `signals` says so.
     pub fn reload(&self, gateway: &Gateway, signals: bool) {
-        let Gateway { name, zone, callers, readiness, metrics, peers, child } = gateway;
+        let Gateway {
+            name,
+            zone,
+            callers,
+            readiness,
+            metrics,
+            peers,
+            child,
+        } = gateway;
         let new = self.folder.join(format!("{name}.new"));
         let settings = self.settings(name, zone, [*callers, *readiness, *metrics, *peers]);
         std::fs::write(&new, settings).unwrap();
@@ -751,7 +864,9 @@
         if !signals {
             return;
         }
-        let sent = Command::new("sh").args(["-c", &format!("kill -HUP {}", child.id())]).status();
+        let sent = Command::new("sh")
+            .args(["-c", &format!("kill -HUP {}", child.id())])
+            .status();
         assert!(sent.is_ok_and(|status| status.success()), "SIGHUP can be sent");
     }
 
@@ -771,7 +886,9 @@
 
 /// Asks a gateway whether it is ready.
 pub fn is_ready(address: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(address) else { return false };
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return false;
+    };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
     let request = "GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
     let sent = stream.write_all(request.as_bytes());
@@ -816,6 +933,9 @@
     for breach in breaches {
         record.note(&format!("{rule} BROKEN: {breach}"));
     }
-    record.note(&format!("{rule}: {}", if breaches.is_empty() { "held" } else { "broken" }));
+    record.note(&format!(
+        "{rule}: {}",
+        if breaches.is_empty() { "held" } else { "broken" }
+    ));
     if breaches.is_empty() { HELD } else { BROKEN }
 }
